--- /dev/null
+++ b/internal/callerapi/callerapi.go
@@ -0,0 +1,178 @@
+// Package callerapi is the HTTP listener for callers.
+package callerapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/query"
+)
+
+// SearchRequest is the body of POST /v1/search.
+type SearchRequest struct {
+	Search         model.SearchID  `json:"search"`
+	Query          json.RawMessage `json:"query"`
+	Limit          int             `json:"limit"`
+	DeadlineMS     int64           `json:"deadline_ms"`
+	SoftDeadlineMS int64           `json:"soft_deadline_ms"`
+	MinCoverage    float64         `json:"min_coverage"`
+	Mode           string          `json:"mode"`
+	Snapshot       string          `json:"snapshot"`
+	MinSnapshot    string          `json:"min_snapshot"`
+}
+
+// SearchReply is the body of the answer to POST /v1/search.
+type SearchReply struct {
+	QueryID  string                          `json:"query_id"`
+	Snapshot string                          `json:"snapshot"`
+	Versions map[model.IndexID]model.Version `json:"versions"`
+	Coverage coverage.Coverage               `json:"coverage"`
+	Hits     []model.Hit                     `json:"hits"`
+}
+
+// ErrorReply is the body of a refusal.
+type ErrorReply struct {
+	Error *fault.Error `json:"error"`
+}
+
+// Searcher answers searches.
+type Searcher interface {
+	Search(ctx context.Context, catalogue *model.Catalogue, request query.Request) (query.Result, error)
+}
+
+// Catalogues gives the catalogue in force, or nil before the first.
+type Catalogues interface{ Catalogue() *model.Catalogue }
+
+// API serves callers.
+type API struct {
+	logger     *zap.Logger
+	searcher   Searcher
+	catalogues Catalogues
+}
+
+// New returns the caller API.
+func New(logger *zap.Logger, searcher Searcher, catalogues Catalogues) *API {
+	return &API{logger: logger, searcher: searcher, catalogues: catalogues}
+}
+
+// Handler returns the HTTP routes.
+func (a *API) Handler() http.Handler {
+	router := httprouter.New()
+	router.POST("/v1/search", a.search)
+	router.GET("/readyz", a.ready)
+	return router
+}
+
+func (a *API) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if a.catalogues.Catalogue() == nil {
+		writeError(w, errNotReady())
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+}
+
+func (a *API) search(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	reply, err := a.answer(w, r)
+	if err != nil {
+		writeError(w, fault.As(err))
+		return
+	}
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (a *API) answer(w http.ResponseWriter, r *http.Request) (SearchReply, error) {
+	catalogue := a.catalogues.Catalogue()
+	if catalogue == nil {
+		return SearchReply{}, errNotReady()
+	}
+	caller, err := authenticate(catalogue, r)
+	if err != nil {
+		return SearchReply{}, err
+	}
+	request, err := decodeSearch(w, r)
+	if err != nil {
+		return SearchReply{}, err
+	}
+	if !slices.Contains(caller.Searches, request.Search) {
+		return SearchReply{}, fault.New(fault.Forbidden, fault.NotRun,
+			"ask the operators to grant the search", "caller %s may not use search %q", caller.ID, request.Search)
+	}
+	result, err := a.searcher.Search(r.Context(), catalogue, query.Request{
+		Search:      request.Search,
+		Query:       request.Query,
+		Limit:       request.Limit,
+		Deadline:    time.Duration(request.DeadlineMS) * time.Millisecond,
+		MinCoverage: request.MinCoverage,
+	})
+	if err != nil {
+		return SearchReply{}, err
+	}
+	return SearchReply{Versions: result.Versions, Coverage: result.Coverage, Hits: result.Hits}, nil
+}
+
+// authenticate finds the catalogue entry whose token the request bears.
+func authenticate(catalogue *model.Catalogue, r *http.Request) (model.Caller, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return model.Caller{}, fault.New(fault.Unauthenticated, fault.NotRun,
+			"send the header Authorization: Bearer TOKEN", "the request bears no token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	hash := hex.EncodeToString(sum[:])
+	for _, caller := range catalogue.Callers {
+		if slices.Contains(caller.TokenSHA256, hash) {
+			return caller, nil
+		}
+	}
+	return model.Caller{}, fault.New(fault.Unauthenticated, fault.NotRun,
+		"ask the operators for a catalogue entry", "no catalogue entry has this token")
+}
+
+func decodeSearch(w http.ResponseWriter, r *http.Request) (SearchRequest, error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, model.MaxBodyBytes))
+	decoder.DisallowUnknownFields()
+	var request SearchRequest
+	if err := decoder.Decode(&request); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return request, fault.New(fault.TooLarge, fault.NotRun, "send a smaller body", "the body is over 64 KiB")
+		}
+		return request, fault.Wrap(err, fault.BadRequest, fault.NotRun, "correct the body", "the body is not valid")
+	}
+	if request.DeadlineMS <= 0 || request.DeadlineMS > model.MaxDeadline.Milliseconds() {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send deadline_ms from 1 to 10000", "deadline_ms is %d", request.DeadlineMS)
+	}
+	if request.Limit <= 0 || request.Limit > model.MaxResultLimit {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send limit from 1 to 1000", "limit is %d", request.Limit)
+	}
+	return request, nil
+}
+
+func errNotReady() *fault.Error {
+	return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
+}
+
+func writeError(w http.ResponseWriter, err *fault.Error) {
+	writeJSON(w, err.HTTPStatus(), ErrorReply{Error: err})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // the caller has gone when this fails
+}
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,111 @@
+package cli
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/fleet"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/platform"
+)
+
+const (
+	standinVersion     = 7
+	standinServiceTime = 4 * time.Millisecond
+	standinAddress     = "127.0.0.1"
+)
+
+type standinCommand struct {
+	Deployment string `long:"deployment" default:"vembanad" description:"cargavoz, vembanad or a JSON file"`
+	Platform   string `long:"platform" default:"127.0.0.1:7000" description:"IP:port of the store and host list"`
+	FirstPort  int    `long:"first-port" default:"20000" description:"port of the first target"`
+	Token      string `long:"trial-token" default:"trial" description:"token of the caller 'trial' in the first catalogue"`
+	Targets    bool   `long:"targets" description:"run the targets"`
+	Store      bool   `long:"store" description:"run the store and the host list"`
+}
+
+// Execute runs the chosen stand-ins until SIGTERM or SIGINT.
+func (c *standinCommand) Execute([]string) error {
+	d, err := deployment.Load(c.Deployment)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	catalogue := trialCatalogue(d, c.FirstPort, c.Token)
+	if c.Targets {
+		targets := fleet.New(fleet.Config{Catalogue: catalogue, Version: standinVersion, ServiceTime: standinServiceTime})
+		stop, err := fleet.Serve(catalogue, targets)
+		if err != nil {
+			return err
+		}
+		defer stop()
+		fmt.Printf("%d targets from port %d\n", len(targets), c.FirstPort)
+	}
+	if c.Store {
+		if err := servePlatform(ctx, c.Platform, catalogue); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func servePlatform(ctx context.Context, address string, catalogue model.Catalogue) error {
+	kv := platform.NewStore()
+	value, err := json.Marshal(catalogue)
+	if err != nil {
+		return err
+	}
+	if _, err := kv.CompareAndSwap(ctx, "head", 0, value); err != nil {
+		return eris.Wrap(err, "first catalogue")
+	}
+	server := &http.Server{
+		Addr:              address,
+		Handler:           platform.NewHandler(kv, platform.NewHostList(nil)),
+		ReadHeaderTimeout: time.Second,
+	}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	fmt.Printf("store and host list at %s\n", address)
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return eris.Wrap(err, "platform stand-in")
+	}
+	return nil
+}
+
+// trialCatalogue returns the deployment's catalogue with one caller that may use everything.
+func trialCatalogue(d deployment.Deployment, firstPort int, token string) model.Catalogue {
+	catalogue := d.Catalogue(standinAddress, firstPort)
+	catalogue.Generation = 1
+	sum := sha256.Sum256([]byte(token))
+	caller := model.Caller{
+		ID:          "trial",
+		Owner:       "operators",
+		Class:       model.ClassInteractive,
+		TokenSHA256: []string{hex.EncodeToString(sum[:])},
+		Rate:        1000,
+		InFlight:    200,
+		Cost:        30000,
+	}
+	for _, search := range catalogue.Searches {
+		caller.Searches = append(caller.Searches, search.ID)
+	}
+	for _, service := range catalogue.Services {
+		caller.Services = append(caller.Services, service.ID)
+	}
+	catalogue.Callers = []model.Caller{caller}
+	return catalogue
+}
--- /dev/null
+++ b/internal/hostlist/http.go
@@ -0,0 +1,44 @@
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const maxListBytes = 4 << 20
+
+// HTTP is a HostList that reads GET /v1/hosts.
+type HTTP struct {
+	address string
+	client  *http.Client
+}
+
+// NewHTTP returns a client of the host list at a host:port address.
+func NewHTTP(address string, timeout time.Duration) *HTTP {
+	return &HTTP{address: address, client: &http.Client{Timeout: timeout}}
+}
+
+// Hosts returns the current list.
+func (h *HTTP) Hosts(ctx context.Context) ([]Record, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.address+"/v1/hosts", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("host list: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("host list answered %s", response.Status)
+	}
+	var records []Record
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&records); err != nil {
+		return nil, fmt.Errorf("host list: %w", err)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/internal/server/configuration.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+const (
+	headKey        = "head"
+	storeRetryWait = 200 * time.Millisecond
+)
+
+// followConfiguration applies each new generation of the catalogue.
+func (s *Server) followConfiguration(ctx context.Context) {
+	var after store.Revision
+	for ctx.Err() == nil {
+		entry, err := s.store.Watch(ctx, headKey, after)
+		if err != nil {
+			pause(ctx, storeRetryWait)
+			continue
+		}
+		after = entry.Revision
+		s.apply(entry.Value)
+	}
+}
+
+func (s *Server) apply(value []byte) {
+	var catalogue model.Catalogue
+	if err := json.Unmarshal(value, &catalogue); err != nil {
+		s.logger.Error("configuration is not valid JSON", zap.Error(err))
+		return
+	}
+	if current := s.Catalogue(); current != nil && current.Generation >= catalogue.Generation {
+		return
+	}
+	s.catalogue.Store(&catalogue)
+	s.logger.Info("configuration in force", zap.Uint64("generation", uint64(catalogue.Generation)))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,91 @@
+// Package server wires the subsystems of one host together. Each subsystem has a file.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/query"
+	"github.com/knapweedrouter/knapweedrouter/internal/settings"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+const (
+	readTimeout        = 2 * time.Second
+	storeTimeout       = 500 * time.Millisecond
+	statusPollInterval = 250 * time.Millisecond
+	statusTimeout      = 200 * time.Millisecond
+	connectionsPerHost = 4
+)
+
+// Server is one host's process.
+type Server struct {
+	logger    *zap.Logger
+	settings  settings.Settings
+	store     store.Store
+	targets   targetclient.TargetClient
+	inventory *inventory.Inventory
+	engine    *query.Engine
+	catalogue atomic.Pointer[model.Catalogue]
+}
+
+// New returns a server that has not started.
+func New(logger *zap.Logger, s settings.Settings) *Server {
+	client := targetclient.NewHTTP(connectionsPerHost)
+	reports := inventory.New()
+	incarnation := model.Incarnation(time.Now().UnixNano())
+	return &Server{
+		logger:    logger,
+		settings:  s,
+		store:     store.NewHTTP(store.HTTPConfig{Addresses: s.StoreAddresses, Timeout: storeTimeout}),
+		targets:   client,
+		inventory: reports,
+		engine:    query.New(client, reports, incarnation),
+	}
+}
+
+// Catalogue returns the catalogue in force, or nil before the first.
+func (s *Server) Catalogue() *model.Catalogue { return s.catalogue.Load() }
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.settings.CallerListen)
+	if err != nil {
+		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", s.settings.CallerListen)
+	}
+	api := callerapi.New(s.logger, s.engine, s)
+	httpServer := &http.Server{
+		Handler:           api.Handler(),
+		ReadTimeout:       readTimeout,
+		ReadHeaderTimeout: readTimeout,
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var duties conc.WaitGroup
+	duties.Go(func() { s.followConfiguration(ctx) })
+	duties.Go(func() { s.pollStatuses(ctx) })
+	duties.Go(func() {
+		<-ctx.Done()
+		_ = httpServer.Shutdown(context.WithoutCancel(ctx)) // Serve reports the failure
+	})
+	s.logger.Info("serving callers", zap.String("address", listener.Addr().String()))
+	err = httpServer.Serve(listener)
+	cancel()
+	duties.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "caller listener")
+}
--- /dev/null
+++ b/internal/server/statuses.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+const statusPollers = 16
+
+// pollStatuses asks every target for its report, again and again.
+func (s *Server) pollStatuses(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		if catalogue := s.Catalogue(); catalogue != nil {
+			s.pollOnce(ctx, catalogue.Targets)
+		}
+		pause(ctx, statusPollInterval-time.Since(started))
+	}
+}
+
+func (s *Server) pollOnce(ctx context.Context, targets []model.Target) {
+	pollers := pool.New().WithMaxGoroutines(statusPollers)
+	for _, target := range targets {
+		pollers.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			status, err := s.targets.Status(ctx, target)
+			if err == nil {
+				s.inventory.Put(status)
+			}
+		})
+	}
+	pollers.Wait()
+}
--- /dev/null
+++ b/internal/standin/corpus/corpus.go
@@ -0,0 +1,88 @@
+// Package corpus makes the documents that target stand-ins serve. The same index and version always give the same
+// documents, so a test can compute the answer that it expects.
+package corpus
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// Size is the number of documents in one index version.
+const Size = 600
+
+// scoreLevels is small so that scores tie often and the tie-break is exercised.
+const scoreLevels = 50
+
+var words = []string{
+	"wheel hub", "strap", "axle", "tyre", "buckle", "frame tube", "cradle foam", "hinge pin",
+	"charging slot", "battery pack", "amp socket", "cable", "meter", "locker", "fuse", "charger",
+}
+
+// Document is one document of an index version.
+type Document struct {
+	model.Hit
+	Key uint32
+}
+
+// Documents returns the documents of an index version, ordered by id.
+func Documents(index model.IndexID, version model.Version) []Document {
+	documents := make([]Document, 0, Size)
+	for i := range Size {
+		documents = append(documents, document(index, version, i))
+	}
+	return documents
+}
+
+func document(index model.IndexID, version model.Version, i int) Document {
+	id := fmt.Sprintf("%s-%04d", index, i)
+	// Scores depend on the version, so hits of two versions never look alike.
+	score := xxhash.Sum64String(fmt.Sprintf("%s@%d", id, version)) % scoreLevels
+	hit := model.Hit{
+		Index: index,
+		ID:    id,
+		Score: float64(score) / scoreLevels,
+		Fields: map[string]string{
+			"name":    words[i%len(words)],
+			"version": fmt.Sprint(version),
+		},
+	}
+	return Document{Hit: hit, Key: uint32(xxhash.Sum64String(id) % model.KeySpace)}
+}
+
+// Search returns the best hits among the documents whose key lies in the range.
+func Search(documents []Document, keys model.KeyRange, text string, limit int) []model.Hit {
+	var hits []model.Hit
+	for _, d := range documents {
+		if d.Key < keys.Low || d.Key >= keys.High {
+			continue
+		}
+		if strings.Contains(d.Fields["name"], text) {
+			hits = append(hits, d.Hit)
+		}
+	}
+	slices.SortFunc(hits, Compare)
+	return hits[:min(limit, len(hits))]
+}
+
+// Compare orders hits from best to worst, ties by index and id.
+func Compare(a, b model.Hit) int {
+	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Index, b.Index), cmp.Compare(a.ID, b.ID))
+}
+
+// EvenShardMap divides the key space among count shards.
+func EvenShardMap(count int) []model.Shard {
+	shards := make([]model.Shard, 0, count)
+	for i := range count {
+		low := uint32(model.KeySpace * i / count)
+		high := uint32(model.KeySpace * (i + 1) / count)
+		id := model.ShardID(fmt.Sprintf("s%02d", i))
+		shards = append(shards, model.Shard{ID: id, KeyRange: model.KeyRange{Low: low, High: high}})
+	}
+	return shards
+}
--- /dev/null
+++ b/internal/standin/platform/hosts.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
+)
+
+var errHostListDown = errors.New("host list stand-in is down on request")
+
+// HostList is an in-memory host list. It can lag: readers see changes after a delay.
+type HostList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	changes []hostChange
+}
+
+type hostChange struct {
+	at      time.Time
+	records []hostlist.Record
+}
+
+// NewHostList returns a list with the given records.
+func NewHostList(records []hostlist.Record) *HostList {
+	return &HostList{changes: []hostChange{{records: slices.Clone(records)}}}
+}
+
+// SetLag sets how long readers see the old list after a change.
+func (h *HostList) SetLag(lag time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lag = lag
+}
+
+// SetDown makes reads fail.
+func (h *HostList) SetDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down = down
+}
+
+// Set replaces the list. Readers see it after the lag.
+func (h *HostList) Set(records []hostlist.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = append(h.changes, hostChange{at: time.Now(), records: slices.Clone(records)})
+}
+
+// Hosts implements hostlist.HostList.
+func (h *HostList) Hosts(context.Context) ([]hostlist.Record, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return nil, errHostListDown
+	}
+	visible := time.Now().Add(-h.lag)
+	for i := len(h.changes) - 1; i > 0; i-- {
+		if !h.changes[i].at.After(visible) {
+			return slices.Clone(h.changes[i].records), nil
+		}
+	}
+	return slices.Clone(h.changes[0].records), nil
+}
+
+func sleep(ctx context.Context, milliseconds int64) error {
+	if milliseconds <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(time.Duration(milliseconds) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/target/handler.go
@@ -0,0 +1,125 @@
+package target
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+	"github.com/knapweedrouter/knapweedrouter/internal/wire"
+)
+
+// Handler serves a target stand-in over HTTP, with control endpoints for tests under /standin/.
+type Handler struct{ target *Target }
+
+// NewHandler returns an http.Handler for the target.
+func NewHandler(t *Target) http.Handler {
+	h := &Handler{target: t}
+	router := httprouter.New()
+	router.POST(wire.PathSearch, h.search)
+	router.POST(wire.PathExecute, h.execute)
+	router.POST(wire.PathCancel, h.cancel)
+	router.GET(wire.PathStatus, h.status)
+	router.GET("/standin/records", h.records)
+	router.PUT("/standin/state", h.setState)
+	return router
+}
+
+func (h *Handler) search(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request targetclient.SearchRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	answer, err := h.target.Search(r.Context(), request)
+	if err != nil {
+		replyError(w, request.Attempt, err)
+		return
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+func (h *Handler) execute(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request targetclient.ExecuteRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	answer, err := h.target.Execute(r.Context(), request)
+	if err != nil {
+		replyError(w, request.Attempt, err)
+		return
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+func (h *Handler) cancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request wire.Cancel
+	if !decode(w, r, &request) {
+		return
+	}
+	var attempt model.AttemptID
+	if err := attempt.UnmarshalText([]byte(request.Attempt)); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.target.Cancel(attempt)
+	reply(w, http.StatusOK, request)
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	reply(w, http.StatusOK, h.target.Status())
+}
+
+func (h *Handler) records(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	reply(w, http.StatusOK, h.target.Records())
+}
+
+func (h *Handler) setState(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request struct {
+		State model.TargetState `json:"state"`
+	}
+	if !decode(w, r, &request) {
+		return
+	}
+	h.target.SetState(request.State)
+	reply(w, http.StatusOK, request)
+}
+
+func replyError(w http.ResponseWriter, attempt model.AttemptID, err error) {
+	status, code := http.StatusInternalServerError, "internal"
+	switch {
+	case errors.Is(err, targetclient.ErrVersionGone):
+		status, code = http.StatusConflict, wire.CodeVersionGone
+	case errors.Is(err, targetclient.ErrShed):
+		status, code = http.StatusServiceUnavailable, wire.CodeShed
+	case errors.Is(err, targetclient.ErrDraining):
+		status, code = http.StatusServiceUnavailable, wire.CodeDraining
+	case errors.Is(err, targetclient.ErrCancelled):
+		status, code = http.StatusRequestTimeout, wire.CodeCancelled
+	case errors.Is(err, targetclient.ErrDeadline):
+		status, code = http.StatusGatewayTimeout, wire.CodeDeadline
+	}
+	reply(w, status, wire.Error{Code: code, Attempt: attempt.String()})
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the reader has gone when this fails
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,278 @@
+// Package target is a stand-in of the back-end servers, for tests, development and measurements. It records what it was
+// asked to do; the records are the judge of the system's promises.
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/corpus"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+// IndexVersion is one version of an index that the target holds.
+type IndexVersion struct {
+	Index    model.IndexID
+	Version  model.Version
+	ShardMap []model.Shard
+	Held     []model.ShardID
+}
+
+// Config describes a target stand-in.
+type Config struct {
+	Target      model.Target
+	Incarnation model.Incarnation
+	Indexes     []IndexVersion
+	// ServiceTime is the median duration of an attempt on a warm target.
+	ServiceTime time.Duration
+	// Seed makes the service times reproducible.
+	Seed uint64
+}
+
+// Record is one attempt that the target has seen.
+type Record struct {
+	Attempt model.AttemptID
+	Start   time.Time
+	End     time.Time
+	// Ran tells whether the attempt was executed, in whole or in part.
+	Ran bool
+	// State is the target's state at the start.
+	State model.TargetState
+	// InFlight is the number of attempts at the target at the start, this one included.
+	InFlight  int
+	Operation string
+	Payload   string
+}
+
+// Target is a stand-in of one server. Its methods are safe for concurrent use.
+type Target struct {
+	cfg Config
+
+	mu          sync.Mutex
+	rng         *rand.Rand
+	state       model.TargetState
+	incarnation model.Incarnation
+	indexes     []IndexVersion
+	inFlight    int
+	records     []Record
+	cancels     map[model.AttemptID]context.CancelFunc
+	documents   map[documentsKey][]corpus.Document
+	slowdown    float64
+}
+
+type documentsKey struct {
+	index   model.IndexID
+	version model.Version
+}
+
+// New returns a ready target.
+func New(cfg Config) *Target {
+	return &Target{
+		cfg:         cfg,
+		rng:         rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
+		state:       model.TargetReady,
+		incarnation: cfg.Incarnation,
+		indexes:     cfg.Indexes,
+		cancels:     map[model.AttemptID]context.CancelFunc{},
+		documents:   map[documentsKey][]corpus.Document{},
+		slowdown:    1,
+	}
+}
+
+// ID returns the target's id.
+func (t *Target) ID() model.TargetID { return t.cfg.Target.ID }
+
+// SetState changes the state that the target is in and reports.
+func (t *Target) SetState(state model.TargetState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state = state
+}
+
+// SetIndexes replaces the index versions that the target holds.
+func (t *Target) SetIndexes(indexes []IndexVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.indexes = slices.Clone(indexes)
+}
+
+// SetSlowdown multiplies the service time.
+func (t *Target) SetSlowdown(factor float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slowdown = factor
+}
+
+// Records returns the attempts seen so far.
+func (t *Target) Records() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.records)
+}
+
+// Search runs one search attempt.
+func (t *Target) Search(ctx context.Context, request targetclient.SearchRequest) (targetclient.SearchReply, error) {
+	held, keys, err := t.find(request)
+	if err != nil {
+		return targetclient.SearchReply{}, err
+	}
+	err = t.run(ctx, Record{Attempt: request.Attempt, Operation: "search", Payload: string(request.Query)}, request.DeadlineMS)
+	if err != nil {
+		return targetclient.SearchReply{}, err
+	}
+	var query struct {
+		Text string `json:"text"`
+	}
+	_ = json.Unmarshal(request.Query, &query) // a query of another form matches every document
+	return targetclient.SearchReply{
+		Attempt:     request.Attempt,
+		Target:      t.cfg.Target.ID,
+		Incarnation: t.currentIncarnation(),
+		Index:       request.Index,
+		Shard:       request.Shard,
+		Version:     request.Version,
+		KeyRange:    keys,
+		Hits:        corpus.Search(held, keys, query.Text, request.Limit),
+	}, nil
+}
+
+// Execute runs one operation.
+func (t *Target) Execute(ctx context.Context, request targetclient.ExecuteRequest) (targetclient.ExecuteReply, error) {
+	record := Record{Attempt: request.Attempt, Operation: request.Operation, Payload: string(request.Payload)}
+	if err := t.run(ctx, record, request.DeadlineMS); err != nil {
+		return targetclient.ExecuteReply{}, err
+	}
+	return targetclient.ExecuteReply{
+		Attempt:     request.Attempt,
+		Target:      t.cfg.Target.ID,
+		Incarnation: t.currentIncarnation(),
+		Result:      json.RawMessage(`{"done":true}`),
+	}, nil
+}
+
+// Cancel stops a running attempt.
+func (t *Target) Cancel(attempt model.AttemptID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cancel, ok := t.cancels[attempt]; ok {
+		cancel()
+	}
+}
+
+// Status returns the target's report.
+func (t *Target) Status() model.TargetStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	status := model.TargetStatus{
+		Target:      t.cfg.Target.ID,
+		Incarnation: t.incarnation,
+		State:       t.state,
+		Slots:       t.cfg.Target.Slots,
+		InFlight:    t.inFlight,
+		Load:        float64(t.inFlight) / float64(max(1, t.cfg.Target.Slots)),
+	}
+	for _, index := range t.indexes {
+		status.Indexes = append(status.Indexes, model.IndexStatus{
+			Index: index.Index, Version: index.Version, ShardMap: index.ShardMap, Held: index.Held,
+		})
+	}
+	return status
+}
+
+func (t *Target) currentIncarnation() model.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.incarnation
+}
+
+// find returns the documents and key range of the shard asked for.
+func (t *Target) find(request targetclient.SearchRequest) ([]corpus.Document, model.KeyRange, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, index := range t.indexes {
+		if index.Index != request.Index || index.Version != request.Version {
+			continue
+		}
+		if !slices.Contains(index.Held, request.Shard) {
+			continue
+		}
+		at := slices.IndexFunc(index.ShardMap, func(s model.Shard) bool { return s.ID == request.Shard })
+		if at >= 0 {
+			return t.load(request.Index, request.Version), index.ShardMap[at].KeyRange, nil
+		}
+	}
+	return nil, model.KeyRange{}, targetclient.ErrVersionGone
+}
+
+// load returns the documents of a version. The caller holds the mutex.
+func (t *Target) load(index model.IndexID, version model.Version) []corpus.Document {
+	key := documentsKey{index, version}
+	if _, ok := t.documents[key]; !ok {
+		t.documents[key] = corpus.Documents(index, version)
+	}
+	return t.documents[key]
+}
+
+// run holds a slot for the service time. Attempts over the limit of waiting attempts are shed.
+func (t *Target) run(ctx context.Context, record Record, deadlineMS int64) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(deadlineMS)*time.Millisecond)
+	defer cancel()
+	wait, err := t.admit(&record, cancel)
+	if err != nil {
+		return err
+	}
+	defer t.finish(&record)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return targetclient.ErrCancelled
+	}
+}
+
+// queueFactor is the number of waiting attempts per slot that a target holds before it sheds.
+const queueFactor = 2
+
+// admit takes a place for the attempt and returns how long it takes.
+func (t *Target) admit(record *Record, cancel context.CancelFunc) (time.Duration, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	record.Start = time.Now()
+	record.State = t.state
+	record.InFlight = t.inFlight + 1
+	if t.state == model.TargetDraining {
+		t.records = append(t.records, *record)
+		return 0, targetclient.ErrDraining
+	}
+	if t.inFlight >= t.cfg.Target.Slots*(1+queueFactor) {
+		t.records = append(t.records, *record)
+		return 0, targetclient.ErrShed
+	}
+	t.inFlight++
+	t.cancels[record.Attempt] = cancel
+	record.Ran = true
+	return t.duration(), nil
+}
+
+// duration draws a service time that grows with the queue. The caller holds the mutex.
+func (t *Target) duration() time.Duration {
+	rounds := 1 + (t.inFlight-1)/max(1, t.cfg.Target.Slots)
+	factor := 0.5 + t.rng.ExpFloat64()*0.72
+	return time.Duration(float64(t.cfg.ServiceTime) * factor * t.slowdown * float64(rounds))
+}
+
+func (t *Target) finish(record *Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight--
+	delete(t.cancels, record.Attempt)
+	record.End = time.Now()
+	t.records = append(t.records, *record)
+}
--- /dev/null
+++ b/internal/store/http.go
@@ -0,0 +1,234 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// watchTimeout bounds one waiting watch call; the client then asks again.
+const watchTimeout = 30 * time.Second
+
+// HTTPConfig configures an HTTP client of the store.
+type HTTPConfig struct {
+	// Addresses are the host:port pairs of the service. They are tried in order.
+	Addresses []string
+	// Timeout bounds one call other than a watch.
+	Timeout time.Duration
+}
+
+// HTTP is a Store that speaks a subset of the etcd v3 JSON gateway.
+type HTTP struct {
+	cfg    HTTPConfig
+	client *http.Client
+}
+
+// NewHTTP returns a client of the store.
+func NewHTTP(cfg HTTPConfig) *HTTP {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4}
+	return &HTTP{cfg: cfg, client: &http.Client{Transport: transport}}
+}
+
+type keyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value"`
+	ModRevision string `json:"mod_revision"`
+}
+
+func (kv keyValue) entry() (Entry, error) {
+	revision, err := strconv.ParseUint(kv.ModRevision, 10, 64)
+	if err != nil {
+		return Entry{}, fmt.Errorf("%w: bad revision %q", ErrUnavailable, kv.ModRevision)
+	}
+	return Entry{Key: string(kv.Key), Value: kv.Value, Revision: Revision(revision)}, nil
+}
+
+type rangeRequest struct {
+	Key []byte `json:"key"`
+}
+
+type rangeResponse struct {
+	KVs []keyValue `json:"kvs"`
+}
+
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision string `json:"mod_revision"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+}
+
+type requestOp struct {
+	Put putRequest `json:"request_put"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+}
+
+type responseHeader struct {
+	Revision string `json:"revision"`
+}
+
+type txnResponse struct {
+	Header    responseHeader `json:"header"`
+	Succeeded bool           `json:"succeeded"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	StartRevision string `json:"start_revision"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchEvent struct {
+	KV keyValue `json:"kv"`
+}
+
+type watchResult struct {
+	Events []watchEvent `json:"events"`
+}
+
+type watchResponse struct {
+	Result watchResult `json:"result"`
+}
+
+// Get returns the entry of a key.
+func (h *HTTP) Get(ctx context.Context, key string) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timeout)
+	defer cancel()
+	var response rangeResponse
+	if err := h.post(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &response); err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if len(response.KVs) == 0 {
+		return Entry{}, ErrNotFound
+	}
+	return response.KVs[0].entry()
+}
+
+// CompareAndSwap writes value if the key's revision is expected.
+func (h *HTTP) CompareAndSwap(ctx context.Context, key string, expected Revision, value []byte) (Revision, error) {
+	if len(value) > MaxValueBytes {
+		return 0, ErrTooLarge
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timeout)
+	defer cancel()
+	request := txnRequest{
+		Compare: []compare{{
+			Key:         []byte(key),
+			Target:      "MOD",
+			Result:      "EQUAL",
+			ModRevision: strconv.FormatUint(uint64(expected), 10),
+		}},
+		Success: []requestOp{{Put: putRequest{Key: []byte(key), Value: value}}},
+	}
+	var response txnResponse
+	err := h.post(ctx, "/v3/kv/txn", request, &response)
+	if err != nil {
+		return 0, classifyWrite(err)
+	}
+	if !response.Succeeded {
+		return 0, ErrConflict
+	}
+	revision, err := strconv.ParseUint(response.Header.Revision, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: bad revision %q", ErrOutcomeUnknown, response.Header.Revision)
+	}
+	return Revision(revision), nil
+}
+
+// classifyWrite tells a write that surely did not happen from one that may have.
+func classifyWrite(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+// Watch blocks until the key has a revision above after.
+func (h *HTTP) Watch(ctx context.Context, key string, after Revision) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	start := strconv.FormatUint(uint64(after)+1, 10)
+	request := watchRequest{Create: watchCreate{Key: []byte(key), StartRevision: start}}
+	response, err := h.send(ctx, "/v3/watch", request)
+	if err != nil {
+		return Entry{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var message watchResponse
+		if err := decoder.Decode(&message); err != nil {
+			return Entry{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		if count := len(message.Result.Events); count > 0 {
+			return message.Result.Events[count-1].KV.entry()
+		}
+	}
+}
+
+func (h *HTTP) post(ctx context.Context, path string, request, reply any) error {
+	response, err := h.send(ctx, path, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(io.LimitReader(response.Body, 2*MaxValueBytes)).Decode(reply)
+}
+
+func (h *HTTP) send(ctx context.Context, path string, request any) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	var last error
+	for _, address := range h.cfg.Addresses {
+		response, err := h.sendTo(ctx, address, path, body)
+		if err == nil {
+			return response, nil
+		}
+		last = err
+		var dial *net.OpError
+		if !errors.As(err, &dial) || dial.Op != "dial" {
+			return nil, err
+		}
+	}
+	return nil, last
+}
+
+func (h *HTTP) sendTo(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+	url := "http://" + address + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, fmt.Errorf("store answered %s", response.Status)
+	}
+	return response, nil
+}
