--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -28,5 +28,5 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return server.New(logger, s).Run(ctx)
+	return server.New(logger, s, server.NewPorts(s)).Run(ctx)
 }
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -20,7 +20,7 @@
 func (s *Server) followConfiguration(ctx context.Context) {
 	var after store.Revision
 	for ctx.Err() == nil {
-		entry, err := s.store.Watch(ctx, headKey, after)
+		entry, err := s.ports.Store.Watch(ctx, headKey, after)
 		if err != nil {
 			pause(ctx, storeRetryWait)
 			continue
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,8 +13,10 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
 	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
@@ -34,25 +35,40 @@
 type Server struct {
 	logger    *zap.Logger
 	settings  settings.Settings
-	store     store.Store
-	targets   targetclient.TargetClient
+	ports     Ports
 	inventory *inventory.Inventory
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
 }
 
+// Ports are the server's connections to the outside. Tests and measurements replace them.
+type Ports struct {
+	Store    store.Store
+	HostList hostlist.HostList
+	Targets  targetclient.TargetClient
+	Network  peer.Network
+}
+
+// NewPorts returns the production ports.
+func NewPorts(s settings.Settings) Ports {
+	return Ports{
+		Store:    store.NewHTTP(store.HTTPConfig{Addresses: s.StoreAddresses, Timeout: storeTimeout}),
+		HostList: hostlist.NewHTTP(s.HostListAddress, storeTimeout),
+		Targets:  targetclient.NewHTTP(connectionsPerHost),
+		Network:  peer.TCP{},
+	}
+}
+
 // New returns a server that has not started.
-func New(logger *zap.Logger, s settings.Settings) *Server {
-	client := targetclient.NewHTTP(connectionsPerHost)
+func New(logger *zap.Logger, s settings.Settings, ports Ports) *Server {
 	reports := inventory.New()
 	incarnation := model.Incarnation(time.Now().UnixNano())
 	return &Server{
 		logger:    logger,
 		settings:  s,
-		store:     store.NewHTTP(store.HTTPConfig{Addresses: s.StoreAddresses, Timeout: storeTimeout}),
-		targets:   client,
+		ports:     ports,
 		inventory: reports,
-		engine:    query.New(client, reports, incarnation),
+		engine:    query.New(ports.Targets, reports, incarnation),
 	}
 }
 
@@ -61,7 +77,7 @@
 
 // Run serves until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.settings.CallerListen)
+	listener, err := s.ports.Network.Listen(s.settings.CallerListen)
 	if err != nil {
 		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", s.settings.CallerListen)
 	}
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -28,7 +28,7 @@
 		pollers.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 			defer cancel()
-			status, err := s.targets.Status(ctx, target)
+			status, err := s.ports.Targets.Status(ctx, target)
 			if err == nil {
 				s.inventory.Put(status)
 			}
