Carry authenticated msgpack frames between hosts

Cause: hosts had no way to talk to each other; configuration, membership, loans and ticket forwarding need one.

Ruled out: field names in the envelope, which double the size of a small frame; one shared connection for both directions, which needs an agreement on who dials when both start at once; a read deadline as the only sign of silence, which also cuts connections that have nothing to say.

Change: FrameTransport dials one connection per peer it sends to, with bounded queues, backoff and jitter, and answers calls on the connection of the request. After 250 ms without a frame from a peer that owes one it asks for a sign of life, and after 500 ms it replaces the connection. Frames over 1 MiB, without a valid code under one of at most two keys, or of an older incarnation are refused and counted. A call error tells whether the frame was sent (ErrNotSent, ErrNoReply). peertest is a Network in memory that cuts and silences connections.

Seen failing with the mechanism off (go test ./internal/peer): without the silence check, TestSilentConnectionIsReplaced ("Received unexpected error") and TestSilenceIsNoticedByOneWayFrames ("expected 1, actual 0"); without the incarnation check, TestOlderIncarnationIsRefused ("An error is expected but got nil").

Conclusion: go test -race -count=3 ./internal/peer passes, over connections in memory and over loopback.

--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,220 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer/peertest"
+)
+
+const echo peer.Kind = "echo"
+
+var (
+	oldKey = bytes.Repeat([]byte("o"), 32)
+	newKey = bytes.Repeat([]byte("n"), 32)
+)
+
+type text struct{ Text string }
+
+func answerEcho(_ context.Context, _ peer.Sender, decode func(any) error) (any, error) {
+	var message text
+	if err := decode(&message); err != nil {
+		return nil, err
+	}
+	return message, nil
+}
+
+type host struct {
+	*peer.FrameTransport
+	notes atomic.Int64 // one-way frames received
+}
+
+func (h *host) countNote(context.Context, peer.Sender, func(any) error) (any, error) {
+	h.notes.Add(1)
+	return nil, nil
+}
+
+func answerSlowly(context.Context, peer.Sender, func(any) error) (any, error) {
+	time.Sleep(3 * time.Second)
+	return text{"late"}, nil
+}
+
+// start runs a transport until the test ends.
+func start(t *testing.T, network peer.Network, id model.HostID, incarnation model.Incarnation, address string, keys ...[]byte) *host {
+	transport, err := peer.New(zap.NewNop(), peer.Config{
+		Self: peer.Sender{Host: id, Incarnation: incarnation}, Keys: keys, Network: network,
+	})
+	require.NoError(t, err)
+	h := &host{FrameTransport: transport}
+	transport.Handle(echo, answerEcho)
+	transport.Handle("slow", answerSlowly)
+	transport.Handle("note", h.countNote)
+	listener, err := network.Listen(address)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- transport.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return h
+}
+
+func call(t *testing.T, from *host, address string) error {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var reply text
+	err := from.Call(ctx, address, echo, text{"hello"}, &reply)
+	if err == nil {
+		require.Equal(t, "hello", reply.Text)
+	}
+	return err
+}
+
+// Guards against a transport that works in memory only.
+func TestCallOverLoopback(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	a := start(t, peer.TCP{}, "a", 1, "127.0.0.1:0", newKey)
+	b := start(t, peer.TCP{}, "b", 1, address, newKey)
+	require.NoError(t, call(t, a, address))
+	require.NoError(t, call(t, a, address))
+	require.EqualValues(t, 1, a.Stats().Connects, "both calls use one connection")
+	require.Equal(t, a.Stats().BytesSent, b.Stats().BytesReceived)
+	require.Equal(t, b.Stats().FramesSent, a.Stats().FramesReceived)
+}
+
+// Guards against a key rotation that cuts hosts off from each other while only some have the new key.
+func TestTwoKeysAreValidDuringRotation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		a := start(t, network, "a", 1, "a", oldKey, newKey)
+		b := start(t, network, "b", 1, "b", newKey, oldKey)
+		stranger := start(t, network, "c", 1, "c", bytes.Repeat([]byte("x"), 32))
+		require.NoError(t, call(t, a, "b"))
+		require.NoError(t, call(t, b, "a"))
+		require.Error(t, call(t, stranger, "b"))
+		require.Positive(t, b.Stats().RefusedAuthentication)
+	})
+}
+
+// Guards against a restarted host being mistaken for its earlier run, whose delayed frames would still be obeyed.
+func TestOlderIncarnationIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		b := start(t, network, "b", 1, "b", newKey)
+		earlier := start(t, network, "a", 5, "a5", newKey)
+		later := start(t, network, "a", 6, "a6", newKey)
+		require.NoError(t, call(t, earlier, "b"))
+		require.NoError(t, call(t, later, "b"))
+		err := call(t, earlier, "b")
+		var older *peer.OlderIncarnationError
+		if !errors.As(err, &older) { // the connection of the earlier run may have been closed before
+			err = call(t, earlier, "b")
+		}
+		require.ErrorAs(t, err, &older)
+		require.EqualValues(t, 6, older.Known)
+		require.Positive(t, b.Stats().RefusedIncarnation)
+		earlier.SetIncarnation(7)
+		require.NoError(t, call(t, earlier, "b"))
+	})
+}
+
+// Guards against a connection that stays open but carries nothing any more while a new one would work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		a := start(t, network, "a", 1, "a", newKey)
+		start(t, network, "b", 1, "b", newKey)
+		require.NoError(t, call(t, a, "b"))
+		network.Silence("b")
+		require.ErrorIs(t, call(t, a, "b"), peer.ErrNoReply)
+		require.NoError(t, call(t, a, "b"))
+		require.EqualValues(t, 1, a.Stats().Silent)
+		require.EqualValues(t, 2, a.Stats().Connects)
+	})
+}
+
+// Guards against one-way frames that vanish on a silent connection because no reply is ever missed.
+func TestSilenceIsNoticedByOneWayFrames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		a := start(t, network, "a", 1, "a", newKey)
+		b := start(t, network, "b", 1, "b", newKey)
+		require.NoError(t, a.Send("b", "note", text{"1"}))
+		time.Sleep(2 * time.Second)
+		require.Zero(t, a.Stats().Silent, "a peer that answers signs of life is not silent")
+		network.Silence("b")
+		require.NoError(t, a.Send("b", "note", text{"2"}))
+		time.Sleep(2 * time.Second)
+		require.EqualValues(t, 1, a.Stats().Silent)
+		require.NoError(t, a.Send("b", "note", text{"3"}))
+		time.Sleep(time.Second)
+		require.EqualValues(t, 2, b.notes.Load())
+	})
+}
+
+// Guards against a slow handler being taken for a silent connection.
+func TestSlowHandlerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		a := start(t, network, "a", 1, "a", newKey)
+		start(t, network, "b", 1, "b", newKey)
+		var reply text
+		require.NoError(t, a.Call(t.Context(), "b", "slow", text{}, &reply))
+		require.Zero(t, a.Stats().Silent)
+	})
+}
+
+// Guards against a queue that grows while the peer can't be reached, and against connecting without a pause.
+func TestUnreachablePeerIsTriedWithBackoffAndBoundedQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		a := start(t, network, "a", 1, "a", newKey)
+		network.Cut("b", true)
+		for range 2000 {
+			_ = a.Send("b", "note", text{}) // most fail on the full queue
+		}
+		require.Positive(t, a.Stats().Dropped)
+		network.Cut("b", false)
+		for range 100 {
+			require.ErrorIs(t, call(t, a, "b"), peer.ErrNotSent)
+			time.Sleep(100 * time.Millisecond)
+		}
+		start(t, network, "b", 1, "b", newKey)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, call(t, a, "b"))
+	})
+}
+
+// Guards against a frame length that makes the receiver allocate without bound, and against sending such a frame.
+func TestFramesOverTheLimitAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := peertest.New()
+		a := start(t, network, "a", 1, "a", newKey)
+		b := start(t, network, "b", 1, "b", newKey)
+		huge := text{string(make([]byte, peer.MaxFrameBytes))}
+		require.ErrorIs(t, a.Call(t.Context(), "b", echo, huge, &text{}), peer.ErrNotSent)
+		connection, err := network.Dial(t.Context(), "b")
+		require.NoError(t, err)
+		require.NoError(t, binary.Write(connection, binary.BigEndian, uint32(1<<31)))
+		_, err = connection.Read(make([]byte, 1))
+		require.Error(t, err)
+		require.EqualValues(t, 1, b.Stats().RefusedLength)
+	})
+}
