Give the target stand-in slots, a queue, cold starts and crashes

The first stand-in only lengthened the service time with its load. Proofs and measurements need a target that refuses with proof, collapses when its cold start is overloaded, and crashes on a given request. Its records are the judge, so a deadline that passes during the work is reported as a cancellation, never as not run.

--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -25,6 +25,8 @@
 	router.GET(wire.PathStatus, h.status)
 	router.GET("/standin/records", h.records)
 	router.PUT("/standin/state", h.setState)
+	router.PUT("/standin/poison", h.setPoison)
+	router.POST("/standin/crash", h.crash)
 	return router
 }
 
@@ -69,6 +71,9 @@
 }
 
 func (h *Handler) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !h.target.Available() {
+		panic(http.ErrAbortHandler)
+	}
 	reply(w, http.StatusOK, h.target.Status())
 }
 
@@ -83,11 +88,35 @@
 	if !decode(w, r, &request) {
 		return
 	}
-	h.target.SetState(request.State)
+	if request.State == model.TargetCold {
+		h.target.TurnCold()
+	} else {
+		h.target.SetState(request.State)
+	}
+	reply(w, http.StatusOK, request)
+}
+
+func (h *Handler) setPoison(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request struct {
+		Text string `json:"text"`
+	}
+	if !decode(w, r, &request) {
+		return
+	}
+	h.target.SetPoison(request.Text)
 	reply(w, http.StatusOK, request)
 }
 
+func (h *Handler) crash(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	h.target.Crash()
+	reply(w, http.StatusOK, h.target.Status())
+}
+
+// replyError answers with the protocol's error. A lost attempt, or one at a target that is down, gets no answer at all.
 func replyError(w http.ResponseWriter, attempt model.AttemptID, err error) {
+	if errors.Is(err, targetclient.ErrLost) || errors.Is(err, targetclient.ErrNotSent) {
+		panic(http.ErrAbortHandler)
+	}
 	status, code := http.StatusInternalServerError, "internal"
 	switch {
 	case errors.Is(err, targetclient.ErrVersionGone):
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -43,6 +43,8 @@
 	Ran bool
 	// State is the target's state at the start.
 	State model.TargetState
+	// Refused tells that the attempt gave up before it got a slot.
+	Refused bool
 	// InFlight is the number of attempts at the target at the start, this one included.
 	InFlight  int
 	Operation string
@@ -59,10 +61,17 @@
 	incarnation model.Incarnation
 	indexes     []IndexVersion
 	inFlight    int
+	running     int
+	queue       []*waiting
 	records     []Record
-	cancels     map[model.AttemptID]context.CancelFunc
+	stops       map[model.AttemptID]context.CancelCauseFunc
 	documents   map[documentsKey][]corpus.Document
 	slowdown    float64
+	down        bool
+	crashes     int
+	servedCold  int
+	poison      string
+	hideState   bool
 }
 
 type documentsKey struct {
@@ -78,7 +87,7 @@
 		state:       model.TargetReady,
 		incarnation: cfg.Incarnation,
 		indexes:     cfg.Indexes,
-		cancels:     map[model.AttemptID]context.CancelFunc{},
+		stops:       map[model.AttemptID]context.CancelCauseFunc{},
 		documents:   map[documentsKey][]corpus.Document{},
 		slowdown:    1,
 	}
@@ -159,8 +168,8 @@
 func (t *Target) Cancel(attempt model.AttemptID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if cancel, ok := t.cancels[attempt]; ok {
-		cancel()
+	if stop, ok := t.stops[attempt]; ok {
+		stop(targetclient.ErrCancelled)
 	}
 }
 
@@ -171,7 +180,7 @@
 	status := model.TargetStatus{
 		Target:      t.cfg.Target.ID,
 		Incarnation: t.incarnation,
-		State:       t.state,
+		State:       t.reportedState(),
 		Slots:       t.cfg.Target.Slots,
 		InFlight:    t.inFlight,
 		Load:        float64(t.inFlight) / float64(max(1, t.cfg.Target.Slots)),
@@ -184,6 +193,21 @@
 	return status
 }
 
+// reportedState returns the state that reports show. The caller holds the mutex.
+func (t *Target) reportedState() model.TargetState {
+	if t.hideState {
+		return model.TargetReady
+	}
+	return t.state
+}
+
+// Available tells whether the target accepts connections.
+func (t *Target) Available() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.down
+}
+
 func (t *Target) currentIncarnation() model.Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -217,62 +241,3 @@
 	}
 	return t.documents[key]
 }
-
-// run holds a slot for the service time. Attempts over the limit of waiting attempts are shed.
-func (t *Target) run(ctx context.Context, record Record, deadlineMS int64) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(deadlineMS)*time.Millisecond)
-	defer cancel()
-	wait, err := t.admit(&record, cancel)
-	if err != nil {
-		return err
-	}
-	defer t.finish(&record)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return targetclient.ErrCancelled
-	}
-}
-
-// queueFactor is the number of waiting attempts per slot that a target holds before it sheds.
-const queueFactor = 2
-
-// admit takes a place for the attempt and returns how long it takes.
-func (t *Target) admit(record *Record, cancel context.CancelFunc) (time.Duration, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	record.Start = time.Now()
-	record.State = t.state
-	record.InFlight = t.inFlight + 1
-	if t.state == model.TargetDraining {
-		t.records = append(t.records, *record)
-		return 0, targetclient.ErrDraining
-	}
-	if t.inFlight >= t.cfg.Target.Slots*(1+queueFactor) {
-		t.records = append(t.records, *record)
-		return 0, targetclient.ErrShed
-	}
-	t.inFlight++
-	t.cancels[record.Attempt] = cancel
-	record.Ran = true
-	return t.duration(), nil
-}
-
-// duration draws a service time that grows with the queue. The caller holds the mutex.
-func (t *Target) duration() time.Duration {
-	rounds := 1 + (t.inFlight-1)/max(1, t.cfg.Target.Slots)
-	factor := 0.5 + t.rng.ExpFloat64()*0.72
-	return time.Duration(float64(t.cfg.ServiceTime) * factor * t.slowdown * float64(rounds))
-}
-
-func (t *Target) finish(record *Record) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
-	delete(t.cancels, record.Attempt)
-	record.End = time.Now()
-	t.records = append(t.records, *record)
-}
