--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -52,7 +52,10 @@
 }
 
 // Hosts implements hostlist.HostList.
-func (h *HostList) Hosts(context.Context) ([]hostlist.Record, error) {
+func (h *HostList) Hosts(ctx context.Context) ([]hostlist.Record, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.down {
