--- /dev/null
+++ b/internal/bench/naive.go
@@ -0,0 +1,242 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/merge"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+const (
+	naiveRetries     = 2
+	naivePoll        = 250 * time.Millisecond
+	naiveConfigPoll  = time.Second
+	naiveAttemptTime = 100 * time.Millisecond
+)
+
+// naive is the baseline: each host applies the whole grant of a caller by itself, picks replicas at random, sends no
+// hedge, and retries a failed attempt a fixed number of times whatever the reason.
+type naive struct {
+	world *world
+	hosts []*naiveHost
+	wait  sync.WaitGroup
+	end   context.CancelFunc
+}
+
+type naiveHost struct {
+	world     *world
+	link      *link
+	mu        sync.Mutex
+	catalogue model.Catalogue
+	reports   map[model.TargetID]model.TargetStatus
+	limits    map[model.CallerID]*rate.Limiter
+	sequence  uint64
+	rng       *rand.Rand
+	number    int
+}
+
+func (n *naive) start(ctx context.Context, w *world) error {
+	n.world = w
+	ctx, n.end = context.WithCancel(ctx)
+	for i, h := range w.hosts {
+		nh := &naiveHost{
+			world:   w,
+			link:    newLink(w, h.dataCentre),
+			reports: map[model.TargetID]model.TargetStatus{},
+			limits:  map[model.CallerID]*rate.Limiter{},
+			rng:     rand.New(rand.NewPCG(uint64(i), 3)),
+			number:  i,
+		}
+		n.hosts = append(n.hosts, nh)
+		nh.readCatalogue(ctx)
+		n.wait.Go(func() { repeat(ctx, naiveConfigPoll, nh.readCatalogue) })
+		n.wait.Go(func() { repeat(ctx, naivePoll, nh.poll) })
+	}
+	return nil
+}
+
+func repeat(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	for ctx.Err() == nil {
+		work(ctx)
+		_ = sleep(ctx, interval) // the loop ends with the context
+	}
+}
+
+func (n *naive) ready(int) bool { return true }
+
+func (n *naive) generation(host int) model.Generation {
+	h := n.hosts[host]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.catalogue.Generation
+}
+
+func (n *naive) stop() {
+	n.end()
+	n.wait.Wait()
+}
+
+func (h *naiveHost) readCatalogue(ctx context.Context) {
+	entry, err := h.world.store.Get(ctx, headKey)
+	if err != nil {
+		return
+	}
+	var catalogue model.Catalogue
+	if json.Unmarshal(entry.Value, &catalogue) != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.catalogue = catalogue
+	for _, c := range catalogue.Callers {
+		if h.limits[c.ID] == nil {
+			h.limits[c.ID] = rate.NewLimiter(rate.Limit(c.Rate), max(1, int(c.Rate/10)))
+		}
+	}
+}
+
+func (h *naiveHost) allow(caller model.CallerID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.limits[caller].Allow()
+}
+
+func (h *naiveHost) poll(ctx context.Context) {
+	for _, t := range h.world.catalogue.Targets {
+		if !h.world.targets[t.ID].Available() {
+			continue
+		}
+		status := h.world.targets[t.ID].Status()
+		h.mu.Lock()
+		h.reports[t.ID] = status
+		h.mu.Unlock()
+	}
+}
+
+func (n *naive) search(ctx context.Context, host int, caller model.CallerID, request callerapi.SearchRequest) answer {
+	h := n.hosts[host]
+	if !h.allow(caller) {
+		return answer{err: fault.New(fault.RateLimited, fault.NotRun, "send less", "over the rate")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.DeadlineMS)*time.Millisecond)
+	defer cancel()
+	chosen := h.choose(request.Search)
+	replies := make([]*targetclient.SearchReply, len(chosen.Parts))
+	var group sync.WaitGroup
+	for i, part := range chosen.Parts {
+		group.Go(func() { replies[i] = h.ask(ctx, part, request) })
+	}
+	group.Wait()
+	return assemble(chosen, replies, request)
+}
+
+func assemble(chosen snapshot.Snapshot, replies []*targetclient.SearchReply, request callerapi.SearchRequest) answer {
+	parts := make([]coverage.Part, len(chosen.Parts))
+	var lists [][]model.Hit
+	for i, p := range chosen.Parts {
+		parts[i] = p.Part
+		if replies[i] != nil {
+			lists = append(lists, replies[i].Hits)
+		}
+	}
+	reached := coverage.Compute(parts, func(i int) bool { return replies[i] != nil })
+	if reached.Fraction < request.MinCoverage {
+		return answer{err: fault.New(fault.CoverageBelowMinimum, fault.Ran, "wait longer", "too few shards").
+			WithCoverage(reached.Fraction)}
+	}
+	return answer{reply: &callerapi.SearchReply{
+		Versions: chosen.Versions, Coverage: reached, Hits: merge.Top(lists, request.Limit),
+	}}
+}
+
+func (h *naiveHost) choose(search model.SearchID) snapshot.Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var reports []model.TargetStatus
+	for _, t := range h.catalogue.Targets {
+		if h.isUsable(t) {
+			reports = append(reports, h.reports[t.ID])
+		}
+	}
+	for _, s := range h.catalogue.Searches {
+		if s.ID == search {
+			return snapshot.Choose(s.Indexes, reports)
+		}
+	}
+	return snapshot.Snapshot{}
+}
+
+// isUsable honours what the last catalogue and report say. The caller holds the mutex.
+func (h *naiveHost) isUsable(t model.Target) bool {
+	out := slices.ContainsFunc(h.catalogue.DataCentresOut, func(o model.DataCentreOut) bool { return o.ID == t.DataCentre })
+	report, known := h.reports[t.ID]
+	return known && !out && report.State != model.TargetDraining
+}
+
+func (h *naiveHost) ask(ctx context.Context, part snapshot.Part, request callerapi.SearchRequest) *targetclient.SearchReply {
+	for range 1 + naiveRetries {
+		if len(part.Replicas) == 0 || ctx.Err() != nil {
+			return nil
+		}
+		t, attempt := h.next(part.Replicas)
+		attemptCtx, cancel := context.WithTimeout(ctx, naiveAttemptTime)
+		reply, err := h.link.Search(attemptCtx, t, targetclient.SearchRequest{
+			Attempt: attempt, Index: part.Index, Shard: part.ID, Version: part.Version,
+			Query: request.Query, Limit: request.Limit, DeadlineMS: naiveAttemptTime.Milliseconds(),
+		})
+		cancel()
+		if err == nil {
+			return &reply
+		}
+	}
+	return nil
+}
+
+func (h *naiveHost) next(replicas []model.TargetID) (model.Target, model.AttemptID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sequence++
+	id := replicas[h.rng.IntN(len(replicas))]
+	at := slices.IndexFunc(h.catalogue.Targets, func(t model.Target) bool { return t.ID == id })
+	return h.catalogue.Targets[at], model.AttemptID{Incarnation: model.Incarnation(h.number + 1), Sequence: h.sequence}
+}
+
+func (n *naive) execute(ctx context.Context, host int, caller model.CallerID, e execution) answer {
+	h := n.hosts[host]
+	if !h.allow(caller) {
+		return answer{err: fault.New(fault.RateLimited, fault.NotRun, "send less", "over the rate")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.deadline)
+	defer cancel()
+	var service model.Service
+	for _, s := range n.world.catalogue.Services {
+		if s.ID == e.service {
+			service = s
+		}
+	}
+	for range 1 + naiveRetries {
+		t, attempt := h.next(service.Targets)
+		attemptCtx, cancel := context.WithTimeout(ctx, naiveAttemptTime)
+		_, err := h.link.Execute(attemptCtx, t, targetclient.ExecuteRequest{
+			Attempt: attempt, Service: e.service, Operation: "record", Payload: e.payload,
+			DeadlineMS: naiveAttemptTime.Milliseconds(),
+		})
+		cancel()
+		if err == nil {
+			return answer{done: true}
+		}
+	}
+	return answer{err: fault.New(fault.TargetFailed, fault.NotRun, "try again", "no target answered")}
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,109 @@
+package bench
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// Result holds the figures of one system in one run.
+type Result struct {
+	Queries        int            `json:"queries"`
+	Answered       int            `json:"answered"`
+	RefusedNotRun  int            `json:"refused_not_run"`
+	OutcomeUnknown int            `json:"outcome_unknown"`
+	P50MS          float64        `json:"p50_ms"`
+	P99MS          float64        `json:"p99_ms"`
+	P999MS         float64        `json:"p999_ms"`
+	CoverageMean   float64        `json:"coverage_mean"`
+	TargetAttempts int            `json:"target_attempts"`
+	ExtraLoad      float64        `json:"extra_load"`
+	Violations     map[string]int `json:"violations"`
+}
+
+// Report is the last line of a run.
+type Report struct {
+	Scenario   string `json:"scenario"`
+	Seed       uint64 `json:"seed"`
+	Deployment string `json:"deployment"`
+	Baseline   Result `json:"baseline"`
+	Router     Result `json:"router"`
+}
+
+const (
+	histogramMaxUS  = int64(time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// newResult computes the figures of the well-behaved callers. The extra load counts every search.
+func newResult(w *world, requests []*request, reverted int) Result {
+	j := newJudge(w, requests)
+	result := Result{Violations: j.run()}
+	result.Violations["config_reverted"] = reverted
+	latencies := hdrhistogram.New(1, histogramMaxUS, histogramDigits)
+	coverageSum, searches, asked := 0.0, 0, 0
+	for _, r := range requests {
+		if r.caller == callerCareless || r.caller == callerPoison {
+			continue
+		}
+		result.Queries++
+		result.count(r)
+		if !r.isSearch {
+			continue
+		}
+		if r.answer.reply != nil || r.answer.err.Execution != fault.NotRun {
+			_ = latencies.RecordValue(r.latency.Microseconds()) // every latency is below the maximum
+		}
+		if r.answer.reply != nil {
+			searches++
+			coverageSum += r.answer.reply.Coverage.Fraction
+		}
+	}
+	asked, result.TargetAttempts = j.attempts()
+	if searches > 0 {
+		result.CoverageMean = coverageSum / float64(searches)
+	}
+	if asked > 0 {
+		result.ExtraLoad = float64(result.TargetAttempts)/float64(asked) - 1
+	}
+	result.P50MS = float64(latencies.ValueAtQuantile(50)) / 1000
+	result.P99MS = float64(latencies.ValueAtQuantile(99)) / 1000
+	result.P999MS = float64(latencies.ValueAtQuantile(99.9)) / 1000
+	return result
+}
+
+func (r *Result) count(q *request) {
+	switch {
+	case q.answer.reply != nil || q.answer.done:
+		r.Answered++
+	case q.answer.err.Execution == fault.NotRun:
+		r.RefusedNotRun++
+	case q.answer.err.Execution == fault.OutcomeUnknown:
+		r.OutcomeUnknown++
+	}
+}
+
+// attempts returns the number of shards of the searches that ran and the number of search attempts at targets.
+func (j *judge) attempts() (asked, attempts int) {
+	for _, r := range j.requests {
+		if r.isSearch && j.ran[r.id] > 0 {
+			for _, index := range j.indexes(r.search) {
+				asked += len(index.Groups)
+			}
+		}
+	}
+	for _, records := range j.records {
+		for _, r := range records {
+			if r.Operation == "search" && !isPoison(r.Payload) {
+				attempts++
+			}
+		}
+	}
+	return asked, attempts
+}
+
+func versionText(v model.Version) string { return strconv.FormatUint(uint64(v), 10) }
--- a/internal/standin/corpus/corpus.go
+++ b/internal/standin/corpus/corpus.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,15 +28,30 @@
 // Document is one document of an index version.
 type Document struct {
 	model.Hit
-	Key uint32
+	Key  uint32
+	name string
 }
 
-// Documents returns the documents of an index version, ordered by id.
+type cacheKey struct {
+	index   model.IndexID
+	version model.Version
+}
+
+var cache sync.Map // cacheKey to []Document
+
+// Documents returns the documents of an index version, from the best to the worst. The result is shared and must not be
+// changed.
 func Documents(index model.IndexID, version model.Version) []Document {
+	key := cacheKey{index, version}
+	if known, ok := cache.Load(key); ok {
+		return known.([]Document)
+	}
 	documents := make([]Document, 0, Size)
 	for i := range Size {
 		documents = append(documents, document(index, version, i))
 	}
+	slices.SortFunc(documents, func(a, b Document) int { return Compare(a.Hit, b.Hit) })
+	cache.Store(key, documents)
 	return documents
 }
 
@@ -52,22 +68,23 @@
 			"version": fmt.Sprint(version),
 		},
 	}
-	return Document{Hit: hit, Key: uint32(xxhash.Sum64String(id) % model.KeySpace)}
+	key := uint32(xxhash.Sum64String(id) % model.KeySpace)
+	return Document{Hit: hit, Key: key, name: hit.Fields["name"]}
 }
 
-// Search returns the best hits among the documents whose key lies in the range.
+// Search returns the best hits among the documents, ordered from the best, whose key lies in the range.
 func Search(documents []Document, keys model.KeyRange, text string, limit int) []model.Hit {
-	var hits []model.Hit
-	for _, d := range documents {
-		if d.Key < keys.Low || d.Key >= keys.High {
-			continue
+	hits := make([]model.Hit, 0, limit)
+	for i := range documents {
+		if len(hits) == limit {
+			break
 		}
-		if strings.Contains(d.Fields["name"], text) {
+		d := &documents[i]
+		if d.Key >= keys.Low && d.Key < keys.High && strings.Contains(d.name, text) {
 			hits = append(hits, d.Hit)
 		}
 	}
-	slices.SortFunc(hits, Compare)
-	return hits[:min(limit, len(hits))]
+	return hits
 }
 
 // Compare orders hits from best to worst, ties by index and id.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -37,6 +37,9 @@
 // Record is one attempt that the target has seen.
 type Record struct {
 	Attempt model.AttemptID
+	Index   model.IndexID
+	Shard   model.ShardID
+	Version model.Version
 	Start   time.Time
 	End     time.Time
 	// Ran tells whether the attempt was executed, in whole or in part.
@@ -65,7 +68,6 @@
 	queue       []*waiting
 	records     []Record
 	stops       map[model.AttemptID]context.CancelCauseFunc
-	documents   map[documentsKey][]corpus.Document
 	slowdown    float64
 	down        bool
 	crashes     int
@@ -74,11 +76,6 @@
 	hideState   bool
 }
 
-type documentsKey struct {
-	index   model.IndexID
-	version model.Version
-}
-
 // New returns a ready target.
 func New(cfg Config) *Target {
 	return &Target{
@@ -88,7 +85,6 @@
 		incarnation: cfg.Incarnation,
 		indexes:     cfg.Indexes,
 		stops:       map[model.AttemptID]context.CancelCauseFunc{},
-		documents:   map[documentsKey][]corpus.Document{},
 		slowdown:    1,
 	}
 }
@@ -130,7 +126,14 @@
 	if err != nil {
 		return targetclient.SearchReply{}, err
 	}
-	err = t.run(ctx, Record{Attempt: request.Attempt, Operation: "search", Payload: string(request.Query)}, request.DeadlineMS)
+	err = t.run(ctx, Record{
+		Attempt:   request.Attempt,
+		Index:     request.Index,
+		Shard:     request.Shard,
+		Version:   request.Version,
+		Operation: "search",
+		Payload:   string(request.Query),
+	}, request.DeadlineMS)
 	if err != nil {
 		return targetclient.SearchReply{}, err
 	}
@@ -227,17 +230,8 @@
 		}
 		at := slices.IndexFunc(index.ShardMap, func(s model.Shard) bool { return s.ID == request.Shard })
 		if at >= 0 {
-			return t.load(request.Index, request.Version), index.ShardMap[at].KeyRange, nil
+			return corpus.Documents(request.Index, request.Version), index.ShardMap[at].KeyRange, nil
 		}
 	}
 	return nil, model.KeyRange{}, targetclient.ErrVersionGone
 }
-
-// load returns the documents of a version. The caller holds the mutex.
-func (t *Target) load(index model.IndexID, version model.Version) []corpus.Document {
-	key := documentsKey{index, version}
-	if _, ok := t.documents[key]; !ok {
-		t.documents[key] = corpus.Documents(index, version)
-	}
-	return t.documents[key]
-}
