--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -67,6 +67,8 @@
 	ErrMismatch = errors.New("target: reply does not match the request")
 	// ErrLost means that the connection ended before the reply. The attempt may have run.
 	ErrLost = errors.New("target: connection lost before the reply")
+	// ErrLate means that the whole reply arrived after the deadline. The attempt ran.
+	ErrLate = errors.New("target: reply arrived after the deadline")
 	// ErrSilent means that the connection carried no byte for the activity timeout. The attempt may have run.
 	ErrSilent = errors.New("target: connection silent")
 )
