--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,67 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+// simulate sends attempts one after the other at three targets of the given latencies and counts them per target.
+func simulate(evidence []Evidence, from time.Duration, attempts int, latency [3]time.Duration) (counts [3]int) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range attempts {
+		now := from + time.Duration(i)*ms
+		candidates := make([]Candidate, 3)
+		for j := range candidates {
+			candidates[j] = evidence[j].Candidate(now, 4*ms)
+		}
+		chosen := Choose(rng, candidates)
+		counts[chosen]++
+		evidence[chosen].Start()
+		evidence[chosen].End(now, latency[chosen])
+	}
+	return counts
+}
+
+// TestStragglerIsAvoidedAndFoundAgain guards against sending on to a slow target, and against never trying it again.
+func TestStragglerIsAvoidedAndFoundAgain(t *testing.T) {
+	evidence := make([]Evidence, 3)
+	for i := range evidence {
+		evidence[i].Hint(6, 0)
+	}
+	slow := simulate(evidence, 0, 3000, [3]time.Duration{4 * ms, 40 * ms, 4 * ms})
+	require.Less(t, slow[1], 30, "%v", slow)
+	healed := simulate(evidence, 30*time.Second, 3000, [3]time.Duration{4 * ms, 4 * ms, 4 * ms})
+	require.Greater(t, healed[1], 700, "%v", healed)
+}
+
+// TestMisleadingReportsOnlyWeighTheDraw guards against a target that reports free slots and thereby attracts all work.
+func TestMisleadingReportsOnlyWeighTheDraw(t *testing.T) {
+	evidence := make([]Evidence, 3)
+	evidence[0].Hint(6, 6)
+	evidence[1].Hint(600, 0)
+	evidence[2].Hint(6, 6)
+	counts := simulate(evidence, 0, 3000, [3]time.Duration{4 * ms, 40 * ms, 4 * ms})
+	require.Less(t, counts[1], 60, "%v", counts)
+}
+
+// TestChooseSkipsRefusingTargets guards against asking a target that has just refused while another replica is there.
+func TestChooseSkipsRefusingTargets(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 100 {
+		require.Equal(t, 1, Choose(rng, []Candidate{{Weight: 9, Avoid: true}, {Weight: 1, Cost: 9}}))
+	}
+	require.Equal(t, 0, Choose(rng, []Candidate{{Weight: 1, Avoid: true}}))
+	require.Equal(t, -1, Choose(rng, nil))
+}
+
+// TestHedgeDelayIgnoresOneStraggler guards against a hedge that waits for the latency of the straggler itself.
+func TestHedgeDelayIgnoresOneStraggler(t *testing.T) {
+	require.Equal(t, 6*ms, HedgeDelay(90*ms, []time.Duration{5 * ms, 90 * ms, 6 * ms}, ms))
+	require.Equal(t, 4*ms, HedgeDelay(4*ms, []time.Duration{5 * ms, 0, 6 * ms}, ms))
+	require.Equal(t, ms, HedgeDelay(0, []time.Duration{0}, ms))
+}
