Keep a standing queue out of the base of the gradient limit

The gradient limiter held a mean of 6.23 attempts at a target with 2 slots that sheds above 6: the base of its latency rose with the standing queue. AIMD stayed at 7 for most of the time, because a fixed interval of 50 ms between decreases let a full target shed on.

Change: the base rises only with attempts that did not wait behind this host's own. AIMD decreases again for attempts that started after the last decrease.

--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -65,7 +65,7 @@
 	case VariantGradient:
 		return &Gradient{cfg: cfg, limit: float64(cfg.Initial)}
 	case VariantAIMD:
-		return &AIMD{cfg: cfg, limit: float64(cfg.Initial), decreased: -decreaseInterval}
+		return &AIMD{cfg: cfg, limit: float64(cfg.Initial)}
 	}
 	return Fixed(cfg.Initial)
 }
@@ -79,12 +79,8 @@
 // Observe implements Limiter.
 func (f Fixed) Observe(time.Duration, time.Duration, int, Outcome) {}
 
-const (
-	// decreaseFactor and the increase of 1 per limit successes are the usual values of AIMD.
-	decreaseFactor = 0.5
-	// decreaseInterval makes one burst of refusals count once.
-	decreaseInterval = 50 * time.Millisecond
-)
+// decreaseFactor and the increase of 1 per limit successes are the usual values of AIMD.
+const decreaseFactor = 0.5
 
 // AIMD raises the limit by one for each limit successes while the limit is in use, and halves it on overload.
 type AIMD struct {
@@ -97,11 +93,12 @@
 func (a *AIMD) Limit() int { return int(a.limit) }
 
 // Observe implements Limiter.
-func (a *AIMD) Observe(now, _ time.Duration, inFlight int, outcome Outcome) {
+func (a *AIMD) Observe(now, latency time.Duration, inFlight int, outcome Outcome) {
 	switch {
 	case outcome == Success && 2*inFlight >= a.Limit():
 		a.limit = min(float64(a.cfg.Max), a.limit+1/a.limit)
-	case outcome == Overload && now-a.decreased >= decreaseInterval:
+	case outcome == Overload && now-latency >= a.decreased:
+		// Attempts that were under way at the last decrease tell nothing new: one burst of refusals counts once.
 		a.limit = max(1, a.limit*decreaseFactor)
 		a.decreased = now
 	}
@@ -112,9 +109,8 @@
 	gradientTolerance = 1.5
 	gradientSmoothing = 0.2
 	shortWeight       = 1.0 / 16
-	// baseWeight lets the base follow a lasting change of the service time within some thousand attempts. A base that
-	// follows faster takes a standing queue for the service time, and the limit rises until the target sheds.
-	baseWeight = 1.0 / 8192
+	// baseWeight lets the base follow a lasting change of the service time within some hundred attempts.
+	baseWeight = 1.0 / 256
 )
 
 // Gradient compares the recent mean of the latency with its base, the lowest recent mean: growing latency means queueing.
@@ -136,21 +132,27 @@
 		g.move(g.limit * decreaseFactor)
 		return
 	}
-	g.sample(float64(latency))
-	if 2*inFlight < g.Limit() {
+	inUse := 2*inFlight >= g.Limit()
+	g.sample(float64(latency), !inUse || inFlight == 1)
+	if !inUse {
 		return
 	}
 	gradient := min(1, max(0.5, gradientTolerance*g.base/g.short))
 	g.move(g.limit*gradient + math.Sqrt(g.limit))
 }
 
-func (g *Gradient) sample(latency float64) {
+// sample adds a latency. The base rises only with attempts that did not wait behind this host's own: otherwise it would
+// take a standing queue for the service time, and the limit would rise until the target sheds.
+func (g *Gradient) sample(latency float64, alone bool) {
 	if g.base == 0 {
 		g.base, g.short = latency, latency
 		return
 	}
 	g.short += (latency - g.short) * shortWeight
-	g.base = min(g.short, g.base+(g.short-g.base)*baseWeight)
+	if alone {
+		g.base += (latency - g.base) * baseWeight
+	}
+	g.base = min(g.short, g.base)
 }
 
 func (g *Gradient) move(to float64) {
--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -17,7 +17,7 @@
 		latency := 4 * time.Millisecond * time.Duration(max(inFlight, slots)) / time.Duration(slots)
 		outcome := Success
 		if inFlight > 3*slots {
-			outcome = Overload
+			outcome, latency = Overload, time.Millisecond
 		}
 		l.Observe(now, latency, inFlight, outcome)
 		if i >= steps/2 {
