Validate settings completely and add check-config

Cause: a settings file was only checked for its JSON form, and only the first unknown field was named. Ruled out: DisallowUnknownFields of encoding/json, because it stops at the first fault and gives no path; a JSON schema, because it would repeat the struct definitions. Change: internal/strictjson walks the document beside the struct type and reports each unknown or mistyped field with its path. settings.Validate reports each faulty value with path, value, allowed values and remedy. Secrets are named by file path only. Conclusion: TestValidateNamesExactlyTheFaultyFields checks that any set of broken fields is reported exactly.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -6,7 +6,6 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/server"
 	"github.com/knapweedrouter/knapweedrouter/internal/settings"
@@ -22,9 +21,12 @@
 	if err != nil {
 		return err
 	}
-	logger, err := zap.NewProduction()
+	if faults := s.CheckFiles(); len(faults) > 0 {
+		return eris.Wrap(faults, "settings "+c.Config)
+	}
+	logger, err := settings.NewLogger(s)
 	if err != nil {
-		return eris.Wrap(err, "logger")
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/strictjson"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // rapid registers the flag, so it exists
+	os.Exit(m.Run())
+}
+
+func valid() Settings {
+	return Settings{
+		HostID: "h1", DataCentre: "south-1", Region: "kerala",
+		CallerListen: "0.0.0.0:8080", OperatorListen: "127.0.0.1:8081", PeerListen: "127.0.0.1:8082",
+		StoreAddresses: []string{"127.0.0.1:7000"}, HostListAddress: "127.0.0.1:7000",
+		FleetKeyFiles: []string{"fleet.key"}, OperatorTokenFiles: []string{"operator.token"},
+		LogLevel: "info", LogFormat: "json",
+	}
+}
+
+// breaks maps a JSON path to a change that makes this field, and no other, faulty.
+var breaks = map[string]func(*Settings){
+	"$.host_id":                 func(s *Settings) { s.HostID = "" },
+	"$.data_centre":             func(s *Settings) { s.DataCentre = "south 1" },
+	"$.region":                  func(s *Settings) { s.Region = "" },
+	"$.caller_listen":           func(s *Settings) { s.CallerListen = "localhost:80" },
+	"$.operator_listen":         func(s *Settings) { s.OperatorListen = "127.0.0.1:0" },
+	"$.peer_listen":             func(s *Settings) { s.PeerListen = "0.0.0.0:8082" },
+	"$.store_addresses":         func(s *Settings) { s.StoreAddresses = nil },
+	"$.host_list_address":       func(s *Settings) { s.HostListAddress = "" },
+	"$.fleet_key_files":         func(s *Settings) { s.FleetKeyFiles = nil },
+	"$.operator_token_files[0]": func(s *Settings) { s.OperatorTokenFiles = []string{""} },
+	"$.log_level":               func(s *Settings) { s.LogLevel = "loud" },
+	"$.log_format":              func(s *Settings) { s.LogFormat = "xml" },
+}
+
+// Guards against a validation that stops at the first fault or blames a field that is correct.
+func TestValidateNamesExactlyTheFaultyFields(t *testing.T) {
+	require.Empty(t, valid().Validate())
+	var all []string
+	for path := range breaks {
+		all = append(all, path)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		chosen := rapid.SliceOfDistinct(rapid.SampledFrom(all), rapid.ID).Draw(t, "faulty")
+		s := valid()
+		for _, path := range chosen {
+			breaks[path](&s)
+		}
+		require.ElementsMatch(t, chosen, paths(s.Validate()))
+	})
+}
+
+// Guards against a secret's content in what check-config prints, and against weak or missing secrets.
+func TestCheckFilesHidesContent(t *testing.T) {
+	directory := t.TempDir()
+	short := filepath.Join(directory, "short")
+	require.NoError(t, os.WriteFile(short, []byte("tiny-secret"), 0o600))
+	s := valid()
+	s.FleetKeyFiles = []string{short}
+	s.OperatorTokenFiles = []string{filepath.Join(directory, "absent")}
+	faults := s.CheckFiles()
+	require.Len(t, faults, 2)
+	require.NotContains(t, faults.Error(), "tiny-secret")
+}
+
+// Guards against a default that Validate refuses, and against unknown fields that pass.
+func TestDecode(t *testing.T) {
+	s := valid()
+	s.LogLevel, s.LogFormat = "", ""
+	content, err := json.Marshal(s)
+	require.NoError(t, err)
+	decoded, faults := Decode(content)
+	require.Empty(t, faults)
+	require.Equal(t, valid(), decoded)
+	_, faults = Decode([]byte(`{"host_idd":"h1","region":5,"data_centre":""}`))
+	require.Equal(t, []string{"$.host_idd", "$.region", "$.host_id", "$.data_centre"}, paths(faults)[:4])
+	require.NotContains(t, paths(faults)[4:], "$.region", "a field is reported once")
+}
+
+func paths(faults strictjson.Faults) []string {
+	var all []string
+	for _, fault := range faults {
+		all = append(all, fault.Path)
+	}
+	return all
+}
