Add the operator listener with metrics, state dumps, commands and queries

Cause: operators could neither see nor change a running host. Ruled out: one package for commands and queries, because the design keeps them apart; serving operators on the caller listener, because callers must not reach profiles and dumps; net/http/pprof's default mux, because it would bypass the token. The caller API counts requests, refusals, latency and coverage. Conclusion: until the control loop provides acceptance, a change is refused as not run.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
@@ -61,17 +62,18 @@
 	logger     *zap.Logger
 	searcher   Searcher
 	catalogues Catalogues
+	meter      *meter
 }
 
-// New returns the caller API.
-func New(logger *zap.Logger, searcher Searcher, catalogues Catalogues) *API {
-	return &API{logger: logger, searcher: searcher, catalogues: catalogues}
+// New returns the caller API. It adds its metrics to the set.
+func New(logger *zap.Logger, searcher Searcher, catalogues Catalogues, set *metrics.Set) *API {
+	return &API{logger: logger, searcher: searcher, catalogues: catalogues, meter: newMeter(set)}
 }
 
 // Handler returns the HTTP routes.
 func (a *API) Handler() http.Handler {
 	router := httprouter.New()
-	router.POST("/v1/search", a.search)
+	router.POST("/v1/search", a.meter.measure("search", a.search))
 	router.GET("/readyz", a.ready)
 	return router
 }
@@ -90,6 +92,7 @@
 		writeError(w, fault.As(err))
 		return
 	}
+	countCoverage(w, reply.Coverage.Fraction)
 	writeJSON(w, http.StatusOK, reply)
 }
 
@@ -168,6 +171,7 @@
 }
 
 func writeError(w http.ResponseWriter, err *fault.Error) {
+	countRefusal(w, err)
 	writeJSON(w, err.HTTPStatus(), ErrorReply{Error: err})
 }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -2,6 +2,7 @@
 package inventory
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -35,3 +36,10 @@
 	status, ok := v.reports[target]
 	return status, ok
 }
+
+// All returns the last report of every target.
+func (v *Inventory) All() map[model.TargetID]model.TargetStatus {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return maps.Clone(v.reports)
+}
--- /dev/null
+++ b/internal/operatorapi/query/status.go
@@ -0,0 +1,101 @@
+package query
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+)
+
+// KindStatus is the kind of the frame that asks a host for its configuration status.
+const KindStatus peer.Kind = "configuration_status"
+
+const (
+	statusCalls   = 64 // calls in progress at once
+	statusTimeout = 500 * time.Millisecond
+)
+
+// StatusRequest is the body of a frame of KindStatus.
+type StatusRequest struct{}
+
+// HandleStatus answers frames of KindStatus with the status of this host.
+func HandleStatus(transport peer.Transport, own func() operatorwire.HostStatus) {
+	transport.Handle(KindStatus, func(context.Context, peer.Sender, func(any) error) (any, error) {
+		return own(), nil
+	})
+}
+
+func (h *Handler) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	operatorwire.Write(w, http.StatusOK, Summarize(h.ask(r.Context())))
+}
+
+// ask returns the status of every member, in any order.
+func (h *Handler) ask(ctx context.Context) []operatorwire.HostStatus {
+	statuses := []operatorwire.HostStatus{h.cfg.Own()}
+	var mu sync.Mutex
+	calls := pool.New().WithMaxGoroutines(statusCalls)
+	for _, member := range h.cfg.View.Members() {
+		if member.ID == h.cfg.Host {
+			continue
+		}
+		calls.Go(func() {
+			status := h.askMember(ctx, member)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses = append(statuses, status)
+		})
+	}
+	calls.Wait()
+	return statuses
+}
+
+func (h *Handler) askMember(ctx context.Context, member membership.Member) operatorwire.HostStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	asked := time.Now()
+	var status operatorwire.HostStatus
+	if err := h.cfg.Peers.Call(ctx, member.Address, KindStatus, StatusRequest{}, &status); err != nil {
+		return operatorwire.HostStatus{Host: member.ID, DataCentre: member.DataCentre, Failure: err.Error()}
+	}
+	// Half of the call's duration is the best estimate of the age of the answer.
+	status.InForceMS += time.Since(asked).Milliseconds() / 2
+	return status
+}
+
+// Summarize tells how far the newest generation among the statuses has spread.
+func Summarize(statuses []operatorwire.HostStatus) operatorwire.ConfigurationStatus {
+	result := operatorwire.ConfigurationStatus{Hosts: len(statuses), Lagging: []operatorwire.HostStatus{}}
+	for _, status := range statuses {
+		result.Generation = max(result.Generation, status.Generation)
+	}
+	var ages []int64
+	for _, status := range statuses {
+		if status.Failure != "" || !isInForce(status, result.Generation) {
+			result.Lagging = append(result.Lagging, status)
+			continue
+		}
+		ages = append(ages, status.InForceMS)
+	}
+	result.InForce = len(ages)
+	if len(ages) > 0 {
+		result.SpreadMS = slices.Max(ages) - slices.Min(ages)
+	}
+	slices.SortFunc(result.Lagging, func(a, b operatorwire.HostStatus) int {
+		return strings.Compare(string(a.Host), string(b.Host))
+	})
+	return result
+}
+
+func isInForce(status operatorwire.HostStatus, generation model.Generation) bool {
+	return generation > 0 && status.Generation == generation
+}
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -40,6 +40,7 @@
 		return
 	}
 	s.catalogue.Store(&catalogue)
+	s.operator.applied(catalogue.Generation)
 	s.logger.Info("configuration in force", zap.Uint64("generation", uint64(catalogue.Generation)))
 }
 
--- /dev/null
+++ b/internal/server/operator.go
@@ -0,0 +1,206 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/command"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/query"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/statedump"
+	"github.com/knapweedrouter/knapweedrouter/internal/version"
+)
+
+// operatorState is what the operator listener shows of the process.
+type operatorState struct {
+	metrics     *metrics.Set
+	dumps       *statedump.Registry
+	incarnation model.Incarnation
+	started     time.Time
+
+	mu         sync.Mutex
+	generation model.Generation
+	appliedAt  time.Time
+}
+
+func newOperatorState(incarnation model.Incarnation) *operatorState {
+	return &operatorState{
+		metrics:     metrics.NewSet(),
+		dumps:       statedump.New(),
+		incarnation: incarnation,
+		started:     time.Now(),
+	}
+}
+
+// applied records when a generation came into force.
+func (o *operatorState) applied(generation model.Generation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.generation = generation
+	o.appliedAt = time.Now()
+}
+
+// inForce returns the generation in force and the time since it was applied.
+func (o *operatorState) inForce() (model.Generation, time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.generation == 0 {
+		return 0, 0
+	}
+	return o.generation, time.Since(o.appliedAt)
+}
+
+// operatorListener is the operators' HTTP server with its open listener.
+type operatorListener struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s *Server) listenForOperators() (operatorListener, error) {
+	tokens, err := operatorapi.LoadTokens(s.settings)
+	if err != nil {
+		return operatorListener{}, eris.Wrap(err, "operator_token_files")
+	}
+	listener, err := s.ports.Network.Listen(s.settings.OperatorListen)
+	if err != nil {
+		return operatorListener{}, eris.Wrapf(err, "operator listener: choose another operator_listen than %s", s.settings.OperatorListen)
+	}
+	s.addDumps()
+	s.addMetrics()
+	api := operatorapi.New(s.logger, operatorapi.Config{
+		Tokens:  tokens,
+		Metrics: s.operator.metrics,
+		Dumps:   s.operator.dumps,
+		Ready:   s.ready,
+		Routes:  []operatorapi.Routes{s.commands(), s.queries()},
+	})
+	return operatorListener{server: api.Server(), listener: listener}, nil
+}
+
+func (s *Server) serveOperators(ctx context.Context, o operatorListener) {
+	stop := context.AfterFunc(ctx, func() { o.server.Close() })
+	defer stop()
+	s.logger.Info("serving operators", zap.String("address", o.listener.Addr().String()))
+	if err := o.server.Serve(o.listener); !errors.Is(err, http.ErrServerClosed) {
+		s.logger.Error("operator listener ended", zap.Error(err))
+	}
+}
+
+// ready returns nil if this host takes new work.
+func (s *Server) ready() error {
+	if s.Catalogue() == nil {
+		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
+	}
+	return nil
+}
+
+func (s *Server) commands() operatorapi.Routes {
+	return command.New(s.logger, command.Config{Acceptor: noAcceptor{}, Catalogues: s, Statuses: s.inventory})
+}
+
+func (s *Server) queries() operatorapi.Routes {
+	return query.New(query.Config{
+		Host:      s.settings.HostID,
+		View:      ownView{s},
+		History:   noHistory{},
+		Explainer: noExplainer{},
+		Peers:     noPeers{},
+		Own:       s.configurationStatus,
+	})
+}
+
+// configurationStatus tells operators which generation this host has in force.
+func (s *Server) configurationStatus() operatorwire.HostStatus {
+	generation, age := s.operator.inForce()
+	return operatorwire.HostStatus{
+		Host:       s.settings.HostID,
+		DataCentre: s.settings.DataCentre,
+		Generation: generation,
+		InForceMS:  age.Milliseconds(),
+	}
+}
+
+// processState is the dump of the process itself.
+type processState struct {
+	Version     string            `json:"version"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	UptimeMS    int64             `json:"uptime_ms"`
+}
+
+func (s *Server) addDumps() {
+	dumps := s.operator.dumps
+	dumps.Add("process", func() any {
+		return processState{
+			Version:     version.String(),
+			Incarnation: s.operator.incarnation,
+			UptimeMS:    time.Since(s.operator.started).Milliseconds(),
+		}
+	})
+	dumps.Add("settings", func() any { return s.settings })
+	dumps.Add("configuration", func() any { return s.configurationStatus() })
+	dumps.Add("catalogue", func() any { return s.Catalogue() })
+	dumps.Add("inventory", func() any { return s.inventory.All() })
+}
+
+func (s *Server) addMetrics() {
+	set := s.operator.metrics
+	set.NewGauge("knapweedrouter_configuration_generation", func() float64 {
+		generation, _ := s.operator.inForce()
+		return float64(generation)
+	})
+	set.NewGauge("knapweedrouter_ready", func() float64 {
+		if s.ready() != nil {
+			return 0
+		}
+		return 1
+	})
+}
+
+// The following ports stand in until the control loop and the query engine provide them.
+
+type noAcceptor struct{}
+
+func (noAcceptor) Accept(context.Context, change.Change) (model.Generation, error) {
+	return 0, fault.New(fault.Unavailable, fault.NotRun, "write the store's head key", "this build accepts no changes")
+}
+
+type ownView struct{ *Server }
+
+func (v ownView) Members() []membership.Member {
+	return []membership.Member{{
+		ID:          v.settings.HostID,
+		Incarnation: v.operator.incarnation,
+		Address:     v.settings.PeerListen,
+		DataCentre:  v.settings.DataCentre,
+		Region:      v.settings.Region,
+		State:       membership.Alive,
+	}}
+}
+
+type noHistory struct{}
+
+func (noHistory) Changes() []change.Accepted { return []change.Accepted{} }
+
+type noExplainer struct{}
+
+func (noExplainer) Explain(string) (any, bool) { return nil, false }
+
+type noPeers struct{}
+
+func (noPeers) Call(context.Context, string, peer.Kind, any, any) error {
+	return errors.New("this build calls no other hosts")
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -39,6 +39,7 @@
 	inventory *inventory.Inventory
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
+	operator  *operatorState
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -69,6 +70,7 @@
 		ports:     ports,
 		inventory: reports,
 		engine:    query.New(ports.Targets, reports, incarnation),
+		operator:  newOperatorState(incarnation),
 	}
 }
 
@@ -81,7 +83,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", s.settings.CallerListen)
 	}
-	api := callerapi.New(s.logger, s.engine, s)
+	operators, err := s.listenForOperators()
+	if err != nil {
+		return err
+	}
+	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics)
 	httpServer := &http.Server{
 		Handler:           api.Handler(),
 		ReadTimeout:       readTimeout,
@@ -92,6 +98,7 @@
 	var duties conc.WaitGroup
 	duties.Go(func() { s.followConfiguration(ctx) })
 	duties.Go(func() { s.pollStatuses(ctx) })
+	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
 		<-ctx.Done()
 		_ = httpServer.Shutdown(context.WithoutCancel(ctx)) // Serve reports the failure
