Add the operators' client commands

Cause: the CLI had no command for operators. Change: catalogue, host, datacentre, config, state and explain commands, one file each, with tables and JSON. Exit codes tell conflict (3), unknown outcome (4) and unreachable (5) from refusal (1) and usage (2). A conflict prints both sides.

--- a/internal/cli/checkconfig.go
+++ b/internal/cli/checkconfig.go
@@ -18,7 +18,7 @@
 	Positional struct {
 		File string `positional-arg-name:"FILE" required:"true" description:"settings or catalogue file"`
 	} `positional-args:"true"`
-	outputOptions
+	OutputOptions
 }
 
 // configReport is the JSON output of check-config.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,6 +54,11 @@
 	r.add("check-config", "Check a settings or catalogue file", &checkConfigCommand{})
 	r.add("query", "Send one search as a caller", &queryCommand{})
 	r.add("standin", "Run stand-ins of the platform and the targets, for trials", &standinCommand{})
+	addCatalogueCommands(r)
+	addHostCommands(r)
+	addDataCentreCommands(r)
+	addConfigCommands(r)
+	addStateCommands(r)
 	return parser
 }
 
@@ -74,8 +79,9 @@
 
 func report(err error) {
 	var flagError *flags.Error
+	var reported *reportedError
 	switch {
-	case err == nil || errors.Is(err, errReported):
+	case err == nil || errors.Is(err, errReported) || errors.As(err, &reported):
 	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
 		fmt.Println(err)
 	default:
--- /dev/null
+++ b/internal/cli/operator_test.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorclient"
+)
+
+// Guards against scripts that take an unknown outcome or a lost race for a plain refusal.
+func TestExitCodesTellOutcomesApart(t *testing.T) {
+	conflict := &operatorclient.ConflictError{Fault: fault.New(fault.Conflict, fault.NotRun, "", "")}
+	for _, test := range []struct {
+		err  error
+		want int
+	}{
+		{nil, exitOK},
+		{errReported, exitError},
+		{errors.New("other"), exitError},
+		{&flags.Error{Type: flags.ErrHelp}, exitOK},
+		{&flags.Error{Type: flags.ErrRequired}, exitUsage},
+		{conflict, exitConflict},
+		{&reportedError{conflict}, exitConflict},
+		{fault.New(fault.Unavailable, fault.OutcomeUnknown, "", ""), exitUnknown},
+		{fault.New(fault.Unavailable, fault.NotRun, "", ""), exitUnavailable},
+		{fault.New(fault.InsufficientCapacity, fault.NotRun, "", ""), exitError},
+	} {
+		require.Equal(t, test.want, exitCode(test.err), test.err)
+	}
+}
+
+// Guards against a conflict that hides what the other operator did.
+func TestConflictShowsBothSides(t *testing.T) {
+	text := describeConflict(&change.Conflict{
+		Current: 9,
+		Yours:   change.Change{BasedOn: 7, Edits: []change.Edit{{Op: change.Delete, Kind: change.Caller, ID: "van"}}},
+		Theirs: []change.Accepted{{Generation: 8, Change: change.Change{
+			ID: "abc", Author: "mini", Reason: "rotation", Edits: []change.Edit{{Op: change.Put, Kind: change.Caller, ID: "counter"}},
+		}}},
+	})
+	for _, part := range []string{"generation 7", "delete caller van", "generation 8", "abc", "mini", "rotation", "put caller counter"} {
+		require.Contains(t, text, part)
+	}
+}
+
+// Guards against a list of differences with a silent gap at its start.
+func TestBetweenRefusesForgottenGenerations(t *testing.T) {
+	edit := func(id string) change.Change {
+		return change.Change{Edits: []change.Edit{{Op: change.Delete, Kind: change.Caller, ID: id}}}
+	}
+	kept := []change.Accepted{{Generation: 5, Change: edit("a")}, {Generation: 6, Change: edit("b")}, {Generation: 7, Change: edit("c")}}
+	_, err := between(kept, 3, 0)
+	require.Equal(t, fault.NotFound, fault.As(err).Kind)
+	edits, err := between(kept, 4, 6)
+	require.NoError(t, err)
+	require.Len(t, edits, 2)
+}
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -2,18 +2,46 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
+	"strings"
+	"text/tabwriter"
 )
 
-// outputOptions are the options of every command that prints a result.
-type outputOptions struct {
+// OutputOptions are the options of every command that prints a result.
+type OutputOptions struct {
 	Output string `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
 }
 
-func (o outputOptions) isJSON() bool { return o.Output == "json" }
+func (o OutputOptions) isJSON() bool { return o.Output == "json" }
+
+// show prints a value as JSON or as a table.
+func (o OutputOptions) show(value any, header []string, rows [][]string) error {
+	if o.isJSON() {
+		return printJSON(value)
+	}
+	printTable(header, rows)
+	return nil
+}
 
 func printJSON(value any) error {
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
 }
+
+// printTable prints rows in aligned columns.
+func printTable(header []string, rows [][]string) {
+	writer := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	writer.Flush()
+}
+
+// reportedError is an error that has been printed already.
+type reportedError struct{ error }
+
+// Unwrap returns the error that was printed.
+func (r *reportedError) Unwrap() error { return r.error }
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -64,7 +64,7 @@
 func LoadTokens(s settings.Settings) ([][]byte, error) {
 	var tokens [][]byte
 	for _, path := range s.OperatorTokenFiles {
-		token, err := settings.ReadSecret(path)
+		token, err := settings.ReadToken(path)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -68,9 +68,12 @@
 	require.NoError(t, os.WriteFile(short, []byte("tiny-secret"), 0o600))
 	s := valid()
 	s.FleetKeyFiles = []string{short}
-	s.OperatorTokenFiles = []string{filepath.Join(directory, "absent")}
+	lines := filepath.Join(directory, "lines")
+	require.NoError(t, os.WriteFile(lines, []byte("first token of two\nsecond token of two\n"), 0o600))
+	s.OperatorTokenFiles = []string{filepath.Join(directory, "absent"), lines}
 	faults := s.CheckFiles()
-	require.Len(t, faults, 2)
+	require.Len(t, faults, 3)
+	require.NotContains(t, faults.Error(), "second")
 	require.NotContains(t, faults.Error(), "tiny-secret")
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -127,16 +127,16 @@
 func (s Settings) CheckFiles() strictjson.Faults {
 	c := &check{}
 	for i, path := range s.FleetKeyFiles {
-		c.file(fmt.Sprintf("$.fleet_key_files[%d]", i), path)
+		c.file(fmt.Sprintf("$.fleet_key_files[%d]", i), path, ReadSecret)
 	}
 	for i, path := range s.OperatorTokenFiles {
-		c.file(fmt.Sprintf("$.operator_token_files[%d]", i), path)
+		c.file(fmt.Sprintf("$.operator_token_files[%d]", i), path, ReadToken)
 	}
 	return c.faults
 }
 
-func (c *check) file(path, name string) {
-	if _, err := ReadSecret(name); err != nil {
+func (c *check) file(path, name string, read func(string) ([]byte, error)) {
+	if _, err := read(name); err != nil {
 		c.add(path, name, fmt.Sprintf("a readable file of %d to %d bytes", minSecretBytes, maxSecretBytes), err.Error())
 	}
 }
@@ -155,6 +155,18 @@
 	return secret, nil
 }
 
+// ReadToken returns a secret that can be sent in a header: printable ASCII without white space.
+func ReadToken(path string) ([]byte, error) {
+	token, err := ReadSecret(path)
+	if err != nil {
+		return nil, err
+	}
+	if bytes.ContainsFunc(token, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return nil, fmt.Errorf("the file %s holds other bytes than printable ASCII: put one token on one line into it", path)
+	}
+	return token, nil
+}
+
 // Level returns the log level.
 func (s Settings) Level() zapcore.Level {
 	level, err := zapcore.ParseLevel(s.LogLevel)
