Add the dev command and its check

Cause: the whole path could only be tried with separate processes, and nothing showed that it works. Ruled out: fixed ports, because two runs on one machine would collide; choosing a free port and opening it later, because another program may take it in between. Change: internal/dev runs stand-ins and several hosts in one process on reserved loopback ports.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,6 +53,7 @@
 	r.add("serve", "Run one host of the query tier", &serveCommand{})
 	r.add("check-config", "Check a settings or catalogue file", &checkConfigCommand{})
 	r.add("query", "Send one search as a caller", &queryCommand{})
+	r.add("dev", "Run a whole deployment in one process", &devCommand{})
 	r.add("standin", "Run stand-ins of the platform and the targets, for trials", &standinCommand{})
 	addCatalogueCommands(r)
 	addHostCommands(r)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os/signal"
@@ -14,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
+	"github.com/knapweedrouter/knapweedrouter/internal/dev"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/fleet"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/platform"
@@ -63,11 +61,7 @@
 
 func servePlatform(ctx context.Context, address string, catalogue model.Catalogue) error {
 	kv := platform.NewStore()
-	value, err := json.Marshal(catalogue)
-	if err != nil {
-		return err
-	}
-	if _, err := kv.CompareAndSwap(ctx, "head", 0, value); err != nil {
+	if err := dev.Seed(ctx, kv, catalogue); err != nil {
 		return eris.Wrap(err, "first catalogue")
 	}
 	server := &http.Server{
@@ -90,22 +84,6 @@
 func trialCatalogue(d deployment.Deployment, firstPort int, token string) model.Catalogue {
 	catalogue := d.Catalogue(standinAddress, firstPort)
 	catalogue.Generation = 1
-	sum := sha256.Sum256([]byte(token))
-	caller := model.Caller{
-		ID:          "trial",
-		Owner:       "operators",
-		Class:       model.ClassInteractive,
-		TokenSHA256: []string{hex.EncodeToString(sum[:])},
-		Rate:        1000,
-		InFlight:    200,
-		Cost:        30000,
-	}
-	for _, search := range catalogue.Searches {
-		caller.Searches = append(caller.Searches, search.ID)
-	}
-	for _, service := range catalogue.Services {
-		caller.Services = append(caller.Services, service.ID)
-	}
-	catalogue.Callers = []model.Caller{caller}
+	dev.AddCaller(&catalogue, "trial", token)
 	return catalogue
 }
--- /dev/null
+++ b/internal/dev/datacentre.go
@@ -0,0 +1,114 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// dataCentre takes the last data centre out and back under load.
+func (c *checker) dataCentre(ctx context.Context) (string, error) {
+	centres := c.env.Catalogue.DataCentres
+	centre := centres[len(centres)-1].ID
+	load := c.env.startLoad(ctx, c.traffic)
+	seen, err := c.leaveAndReturn(ctx, centre)
+	outcomes := load.finish()
+	if err != nil {
+		return "", err
+	}
+	answered, err := c.checkLoad(outcomes)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s; %d of %d searches meanwhile answered, none with a wrong or cut answer", seen, answered, len(outcomes)), nil
+}
+
+func (c *checker) leaveAndReturn(ctx context.Context, centre model.DataCentreID) (string, error) {
+	value, err := json.Marshal(model.DataCentreOut{ID: centre, Reason: "check"})
+	if err != nil {
+		return "", err
+	}
+	left, err := c.edit(ctx, change.Edit{Op: change.Put, Kind: change.DataCentreOut, ID: string(centre), Value: value})
+	if err != nil {
+		return "", fmt.Errorf("data centre out: %w", err)
+	}
+	if err := pause(ctx, outPeriod); err != nil {
+		return "", err
+	}
+	end := time.Now()
+	if late := newJudge(c.env).workIn(centre, left.Add(leaveLimit), end); len(late) > 0 {
+		return "", fmt.Errorf("%s got %d attempts later than %s after it was taken out", centre, len(late), leaveLimit)
+	}
+	last := c.lastWork(centre, left, end)
+	returned, err := c.edit(ctx, change.Edit{Op: change.Delete, Kind: change.DataCentreOut, ID: string(centre)})
+	if err != nil {
+		return "", fmt.Errorf("data centre in: %w", err)
+	}
+	back, err := c.awaitWork(ctx, centre, returned)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s got its last attempt %d ms after it was taken out and work again %d ms after its return",
+		centre, last.Milliseconds(), back.Milliseconds()), nil
+}
+
+// edit sends one edit and returns the time of its acceptance.
+func (c *checker) edit(ctx context.Context, edit change.Edit) (time.Time, error) {
+	request, err := c.request(ctx, edit)
+	if err != nil {
+		return time.Time{}, err
+	}
+	_, err = c.env.Operators(0).Change(ctx, request)
+	return time.Now(), err
+}
+
+// lastWork returns when the last attempt began at a target of the data centre.
+func (c *checker) lastWork(centre model.DataCentreID, from, to time.Time) time.Duration {
+	last := time.Duration(0)
+	for _, attempt := range newJudge(c.env).workIn(centre, from, to) {
+		last = max(last, attempt.Start.Sub(from))
+	}
+	return last
+}
+
+// awaitWork waits until a target of the data centre has run work again.
+func (c *checker) awaitWork(ctx context.Context, centre model.DataCentreID, since time.Time) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, returnLimit)
+	defer cancel()
+	for pause(ctx, readyInterval) == nil {
+		for _, attempt := range newJudge(c.env).workIn(centre, since, time.Now()) {
+			if attempt.Ran {
+				return attempt.Start.Sub(since), nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("%s got no work within %s after its return", centre, returnLimit)
+}
+
+// checkLoad judges every search of the load and returns the number of answered ones.
+func (c *checker) checkLoad(outcomes []outcome) (int, error) {
+	judge := newJudge(c.env)
+	answered := 0
+	var last string
+	for _, o := range outcomes {
+		if o.failure != nil {
+			return 0, fmt.Errorf("%s at %s: %w", o.marker, o.host.Settings.HostID, o.failure)
+		}
+		if !o.answered() {
+			last = o.reason()
+			continue
+		}
+		if err := judge.check(o); err != nil {
+			return 0, err
+		}
+		answered++
+	}
+	if float64(answered) < minAnsweredLoad*float64(len(outcomes)) || answered == 0 {
+		return 0, fmt.Errorf("only %d of %d searches were answered; the last refusal: %s", answered, len(outcomes), last)
+	}
+	return answered, nil
+}
--- /dev/null
+++ b/internal/dev/environment.go
@@ -0,0 +1,281 @@
+// Package dev runs a whole deployment in one process: stand-ins of the platform and the targets, and several entry hosts.
+// Its check is judged by the records of the stand-ins.
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
+	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorclient"
+	"github.com/knapweedrouter/knapweedrouter/internal/server"
+	"github.com/knapweedrouter/knapweedrouter/internal/settings"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/fleet"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/platform"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/target"
+)
+
+const (
+	indexVersion  = 7
+	serviceTime   = 4 * time.Millisecond
+	headerTimeout = time.Second
+	// stopTimeout bounds the wait for the hosts at the end.
+	stopTimeout = 4 * time.Second
+)
+
+// Config describes an environment.
+type Config struct {
+	// Deployment gives the data centres, the indexes and the services.
+	Deployment deployment.Deployment
+	// Hosts is the number of entry hosts. They are spread over the data centres.
+	Hosts int
+	// Seed makes the service times of the targets reproducible.
+	Seed uint64
+}
+
+// Host is one entry host of the environment.
+type Host struct {
+	Settings settings.Settings
+	done     chan struct{}
+	err      error
+}
+
+// Environment is a running deployment.
+type Environment struct {
+	// Hosts are the entry hosts.
+	Hosts []*Host
+	// Targets are the target stand-ins.
+	Targets map[model.TargetID]*target.Target
+	// Store is the stand-in of the key-value service.
+	Store *platform.Store
+	// Catalogue is the first catalogue.
+	Catalogue model.Catalogue
+	// CallerToken and OperatorToken are the tokens of the trial caller and of the operators.
+	CallerToken   string
+	OperatorToken string
+	// Directory holds the files of the secrets.
+	Directory string
+
+	logger          *zap.Logger
+	cfg             Config
+	network         *network
+	cancel          context.CancelFunc
+	platformAddress string
+	servers         []*http.Server
+	work            sync.WaitGroup
+}
+
+// Start starts the stand-ins and the hosts. Stop must be called even if the context ends.
+func Start(ctx context.Context, logger *zap.Logger, cfg Config) (*Environment, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Environment{
+		logger:        logger,
+		cfg:           cfg,
+		network:       newNetwork(),
+		cancel:        cancel,
+		CallerToken:   rand.Text(),
+		OperatorToken: rand.Text(),
+	}
+	for _, step := range []func(context.Context) error{e.makeSecrets, e.startTargets, e.startPlatform, e.startHosts} {
+		if err := step(ctx); err != nil {
+			e.Stop()
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+func (e *Environment) makeSecrets(context.Context) error {
+	directory, err := os.MkdirTemp("", "knapweedrouter-dev-")
+	if err != nil {
+		return fmt.Errorf("directory for secrets: %w", err)
+	}
+	e.Directory = directory
+	return errors.Join(
+		os.WriteFile(e.path("fleet.key"), []byte(rand.Text()+rand.Text()), 0o600),
+		os.WriteFile(e.path("operator.token"), []byte(e.OperatorToken), 0o600),
+		os.WriteFile(e.path("caller.token"), []byte(e.CallerToken), 0o600),
+	)
+}
+
+func (e *Environment) path(name string) string { return filepath.Join(e.Directory, name) }
+
+func (e *Environment) startTargets(context.Context) error {
+	e.Catalogue = e.cfg.Deployment.Catalogue("127.0.0.1", 1)
+	e.Catalogue.Generation = 1
+	AddCaller(&e.Catalogue, "trial", e.CallerToken)
+	for i := range e.Catalogue.Targets {
+		address, err := e.network.reserve()
+		if err != nil {
+			return err
+		}
+		e.Catalogue.Targets[i].Address = address
+	}
+	e.Targets = fleet.New(fleet.Config{
+		Catalogue: e.Catalogue, Version: indexVersion, ServiceTime: serviceTime, Seed: e.cfg.Seed,
+	})
+	for _, t := range e.Catalogue.Targets {
+		if err := e.serve(t.Address, target.NewHandler(e.Targets[t.ID])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves HTTP on a reserved address until Stop.
+func (e *Environment) serve(address string, handler http.Handler) error {
+	listener, err := e.network.Listen(address)
+	if err != nil {
+		return err
+	}
+	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	e.servers = append(e.servers, httpServer)
+	e.work.Go(func() {
+		if err := httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.logger.Error("stand-in ended", zap.String("address", address), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+func (e *Environment) startPlatform(ctx context.Context) error {
+	e.Store = platform.NewStore()
+	if err := Seed(ctx, e.Store, e.Catalogue); err != nil {
+		return err
+	}
+	records, err := e.makeHosts()
+	if err != nil {
+		return err
+	}
+	return e.serve(e.platformAddress, platform.NewHandler(e.Store, platform.NewHostList(records)))
+}
+
+// Seed writes the first catalogue into an empty store.
+func Seed(ctx context.Context, kv *platform.Store, catalogue model.Catalogue) error {
+	value, err := json.Marshal(catalogue)
+	if err != nil {
+		return err
+	}
+	_, err = kv.CompareAndSwap(ctx, "head", 0, value)
+	return err
+}
+
+// makeHosts reserves the addresses of the hosts and returns their records of the host list.
+func (e *Environment) makeHosts() ([]hostlist.Record, error) {
+	addresses := make([]string, 1+3*e.cfg.Hosts)
+	for i := range addresses {
+		address, err := e.network.reserve()
+		if err != nil {
+			return nil, err
+		}
+		addresses[i] = address
+	}
+	e.platformAddress = addresses[0]
+	var records []hostlist.Record
+	for i := range e.cfg.Hosts {
+		s := e.hostSettings(i, addresses[1+3*i:])
+		e.Hosts = append(e.Hosts, &Host{Settings: s})
+		records = append(records, hostlist.Record{ID: s.HostID, Address: s.PeerListen, DataCentre: s.DataCentre, State: hostlist.Live})
+	}
+	return records, nil
+}
+
+func (e *Environment) hostSettings(i int, addresses []string) settings.Settings {
+	centre := e.cfg.Deployment.DataCentres[i%len(e.cfg.Deployment.DataCentres)]
+	return settings.Settings{
+		HostID:             model.HostID(fmt.Sprintf("host-%d", i+1)),
+		DataCentre:         centre.ID,
+		Region:             centre.Region,
+		CallerListen:       addresses[0],
+		OperatorListen:     addresses[1],
+		PeerListen:         addresses[2],
+		StoreAddresses:     []string{e.platformAddress},
+		HostListAddress:    e.platformAddress,
+		FleetKeyFiles:      []string{e.path("fleet.key")},
+		OperatorTokenFiles: []string{e.path("operator.token")},
+		LogLevel:           "warn",
+		LogFormat:          settings.LogFormatJSON,
+	}
+}
+
+func (e *Environment) startHosts(ctx context.Context) error {
+	for _, host := range e.Hosts {
+		if faults := host.Settings.Validate(); len(faults) > 0 {
+			return faults
+		}
+		ports := server.NewPorts(host.Settings)
+		ports.Network = e.network
+		process := server.New(e.logger.With(zap.String("host", string(host.Settings.HostID))), host.Settings, ports)
+		host.done = make(chan struct{})
+		go func() {
+			defer close(host.done)
+			host.err = process.Run(ctx)
+		}()
+	}
+	return nil
+}
+
+// Operators returns a client of the operator listeners of all hosts, beginning with host number first.
+func (e *Environment) Operators(first int) *operatorclient.Client {
+	var addresses []string
+	for i := range e.Hosts {
+		addresses = append(addresses, e.Hosts[(first+i)%len(e.Hosts)].Settings.OperatorListen)
+	}
+	return operatorclient.New(operatorclient.Config{Hosts: addresses, Token: e.OperatorToken})
+}
+
+// Stop ends the hosts and the stand-ins and removes the secrets. It returns the errors of hosts that failed.
+func (e *Environment) Stop() error {
+	e.cancel()
+	var failures []error
+	timeout := time.After(stopTimeout)
+	for _, host := range e.Hosts {
+		if host.done == nil {
+			continue // it has not started
+		}
+		select {
+		case <-host.done:
+			if host.err != nil {
+				failures = append(failures, fmt.Errorf("%s: %w", host.Settings.HostID, host.err))
+			}
+		case <-timeout:
+			timeout = time.After(0)
+			failures = append(failures, fmt.Errorf("%s did not stop within %s", host.Settings.HostID, stopTimeout))
+		}
+	}
+	for _, httpServer := range e.servers {
+		httpServer.Close()
+	}
+	e.work.Wait()
+	e.network.close()
+	failures = append(failures, os.RemoveAll(e.Directory))
+	return errors.Join(failures...)
+}
+
+// Describe tells how to use the environment.
+func (e *Environment) Describe() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d targets, store and host list at %s\n", len(e.Targets), e.platformAddress)
+	for _, host := range e.Hosts {
+		s := host.Settings
+		fmt.Fprintf(&text, "%s in %s: callers %s, operators %s\n", s.HostID, s.DataCentre, s.CallerListen, s.OperatorListen)
+	}
+	first := e.Hosts[0].Settings
+	fmt.Fprintf(&text, "\nquery:     knapweedrouter query --host %s --token-file %s --search %s --text hub\n",
+		first.CallerListen, e.path("caller.token"), e.Catalogue.Searches[0].ID)
+	fmt.Fprintf(&text, "operators: knapweedrouter host list --host %s --token-file %s\n", first.OperatorListen, e.path("operator.token"))
+	return text.String()
+}
