--- a/internal/configstate/format.go
+++ b/internal/configstate/format.go
@@ -7,19 +7,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
 // CatalogueFormat is the format of the key head.
-func CatalogueFormat() Format[*model.Catalogue, Change] {
-	return Format[*model.Catalogue, Change]{Apply: applyChange, Split: splitCatalogue, Join: joinCatalogue}
-}
-
-func applyChange(document *model.Catalogue, generation model.Generation, change Change) (*model.Catalogue, error) {
-	if document == nil {
-		document = &model.Catalogue{}
-	}
-	return applyEdits(document, generation, change.Edits)
+func CatalogueFormat() Format[*model.Catalogue, change.Change] {
+	return Format[*model.Catalogue, change.Change]{Apply: applyChange, Split: splitCatalogue, Join: joinCatalogue}
 }
 
 const maxBuckets = 1 << 12
--- a/internal/control/accept.go
+++ b/internal/control/accept.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
 	"github.com/knapweedrouter/knapweedrouter/internal/configstate"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -15,33 +15,29 @@
 // acceptRetryWait is the pause before the store is asked again for the outcome of a change.
 const acceptRetryWait = 50 * time.Millisecond
 
-// ConflictError shows both sides of a race between operators. It is the cause of an error of kind fault.Conflict.
-type ConflictError struct {
-	// Generation is the one in force now.
-	Generation model.Generation `json:"generation"`
-	// Yours was not accepted.
-	Yours configstate.Change `json:"yours"`
-	// Theirs are the changes accepted after the generation that yours was based on, the oldest first. The content of an
-	// old or large one may be missing.
-	Theirs []configstate.Record[configstate.Change] `json:"theirs"`
-}
+// Acceptor accepts operators' changes into a store. It implements change.Acceptor.
+type Acceptor struct{ Store store.Store }
 
-// Error returns the message.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("change %s is based on generation %d, but generation %d is in force", e.Yours.ID, e.Yours.Based, e.Generation)
+// Accept calls the function Accept.
+func (a Acceptor) Accept(ctx context.Context, c change.Change) (model.Generation, error) {
+	return Accept(ctx, a.Store, c)
 }
 
 // Accept makes a change the next generation by one compare-and-swap of the key head. It returns the generation of the
 // change, also if a change of the same id was accepted before. The catalogue that the change leads to is validated first.
 //
-// Errors are of kind fault.Conflict (the cause is a *ConflictError), fault.InvalidCatalogue (the cause is of type
-// model.Violations or a *configstate.EditError), fault.BadRequest, or fault.StoreUnavailable; with execution
-// fault.OutcomeUnknown the change may have been accepted, and calling Accept with the same change again tells.
-func Accept(ctx context.Context, s store.Store, change configstate.Change) (model.Generation, error) {
-	if change.ID == "" || len(change.Edits) == 0 {
+// Errors are a *change.Conflict, or a *fault.Error of kind fault.Conflict (with outcome unknown: the record of this very
+// change may have aged out), fault.InvalidCatalogue (the cause is of type model.Violations or *configstate.EditError),
+// fault.BadRequest, or fault.StoreUnavailable; with execution fault.OutcomeUnknown the change may have been accepted, and
+// calling Accept with the same change again tells.
+func Accept(ctx context.Context, s store.Store, c change.Change) (model.Generation, error) {
+	if c.ID == "" || len(c.Edits) == 0 {
 		return 0, fault.New(fault.BadRequest, fault.NotRun, "give the change an id and at least one edit", "the change is empty")
 	}
-	a := &acceptance{store: s, change: change, format: configstate.CatalogueFormat()}
+	if err := configstate.CheckEdits(c); err != nil {
+		return 0, fault.Wrap(err, fault.InvalidCatalogue, fault.NotRun, "correct the edit", "an edit is not valid")
+	}
+	a := &acceptance{store: s, change: c, format: configstate.CatalogueFormat()}
 	for {
 		generation, done, err := a.attempt(ctx)
 		if done {
@@ -56,8 +52,8 @@
 // acceptance is one change on its way into the store.
 type acceptance struct {
 	store  store.Store
-	format configstate.Format[*model.Catalogue, configstate.Change]
-	change configstate.Change
+	format configstate.Format[*model.Catalogue, change.Change]
+	change change.Change
 	// sent tells that a write may still take effect, because its answer was lost.
 	sent bool
 }
@@ -75,7 +71,7 @@
 	if generation, found := head.Find(a.change.ID); found {
 		return generation, true, nil
 	}
-	if head.Generation != a.change.Based {
+	if head.Generation != a.change.BasedOn {
 		return 0, true, a.conflict(head)
 	}
 	value, segments, err := a.next(ctx, head)
@@ -109,7 +105,7 @@
 }
 
 // next returns the value and the new segments of the head that the change leads to.
-func (a *acceptance) next(ctx context.Context, head configstate.Head[configstate.Change]) ([]byte, map[configstate.SegmentID][]byte, error) {
+func (a *acceptance) next(ctx context.Context, head configstate.Head[change.Change]) ([]byte, map[configstate.SegmentID][]byte, error) {
 	current, err := readDocument(ctx, a.store, a.format, head)
 	if err != nil {
 		return nil, nil, err
@@ -126,19 +122,29 @@
 	return value, proposal.Segments, err
 }
 
-func (a *acceptance) conflict(head configstate.Head[configstate.Change]) error {
-	cause := &ConflictError{Generation: head.Generation, Yours: a.change}
-	for _, record := range head.Records {
-		if record.Generation > a.change.Based {
-			cause.Theirs = append(cause.Theirs, record)
-		}
+func (a *acceptance) conflict(head configstate.Head[change.Change]) error {
+	cause := &change.Conflict{Current: head.Generation, Yours: a.change, Theirs: accepted(head.Records, a.change.BasedOn)}
+	if len(head.Records) > 0 && head.Records[0].Generation > a.change.BasedOn+1 {
+		return fault.Wrap(cause, fault.Conflict, fault.OutcomeUnknown,
+			"look whether the change is in force, and send it with a new id if not", "the change is based on an old generation")
 	}
-	execution := fault.NotRun
-	if len(head.Records) > 0 && head.Records[0].Generation > a.change.Based+1 {
-		execution = fault.OutcomeUnknown // the record of this very change may have aged out
+	return cause
+}
+
+// accepted returns the records after a generation as operators see them.
+func accepted(records []configstate.Record[change.Change], after model.Generation) []change.Accepted {
+	result := []change.Accepted{}
+	for _, record := range records {
+		if record.Generation <= after {
+			continue
+		}
+		entry := change.Accepted{Change: change.Change{ID: record.ID}, Generation: record.Generation}
+		if record.Change != nil {
+			entry.Change = *record.Change
+		}
+		result = append(result, entry)
 	}
-	return fault.Wrap(cause, fault.Conflict, execution,
-		"look at the changes accepted in the meantime and send yours again, based on the generation in force", "another change was accepted")
+	return result
 }
 
 func (a *acceptance) unavailable(cause error) error {
@@ -153,8 +159,8 @@
 }
 
 // readHead returns the head of the catalogue, or an empty one before the first change.
-func readHead(ctx context.Context, s store.Store) (configstate.Head[configstate.Change], store.Revision, error) {
-	var empty configstate.Head[configstate.Change]
+func readHead(ctx context.Context, s store.Store) (configstate.Head[change.Change], store.Revision, error) {
+	var empty configstate.Head[change.Change]
 	entry, err := s.Get(ctx, configstate.HeadKey)
 	if errors.Is(err, store.ErrNotFound) {
 		return empty, 0, nil
@@ -162,7 +168,7 @@
 	if err != nil {
 		return empty, 0, err
 	}
-	head, err := configstate.DecodeHead[configstate.Change](entry.Value)
+	head, err := configstate.DecodeHead[change.Change](entry.Value)
 	return head, entry.Revision, err
 }
 
@@ -199,7 +205,7 @@
 }
 
 // ReadCatalogue returns the accepted catalogue and its recent changes, read from the store.
-func ReadCatalogue(ctx context.Context, s store.Store) (*model.Catalogue, []configstate.Record[configstate.Change], error) {
+func ReadCatalogue(ctx context.Context, s store.Store) (*model.Catalogue, []configstate.Record[change.Change], error) {
 	head, _, err := readHead(ctx, s)
 	if err != nil {
 		return nil, nil, err
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -41,6 +41,7 @@
 		return
 	}
 	s.catalogue.Store(catalogue)
+	s.operator.applied(catalogue.Generation)
 	s.logger.Info("configuration in force", zap.Uint64("generation", uint64(catalogue.Generation)))
 }
 
