--- /dev/null
+++ b/internal/configstate/state.go
@@ -0,0 +1,208 @@
+package configstate
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// FenceAge is the age of the confirmation after which a host may be cut off from accepted changes. Work to what
+// operators have taken out has to end within 3 s.
+const FenceAge = 3 * time.Second
+
+// Pull asks a host for newer generations.
+type Pull struct {
+	Generation model.Generation
+	Fleet      model.Generation
+}
+
+// PullReply is the answer to a Pull.
+type PullReply struct {
+	Generation model.Generation
+	Fleet      model.Generation
+	// AgeMS is the age of the answering host's confirmation in milliseconds, rounded up; negative if it has none.
+	AgeMS int64
+	// HeadUpdate and FleetUpdate are heads in JSON with what the puller lacks; empty if it lacks nothing.
+	HeadUpdate  []byte
+	FleetUpdate []byte
+	// Reports are sent only while some relay fails to reach the store.
+	Reports []ReportMessage
+}
+
+// ReportMessage is a Report with its age instead of a time.
+type ReportMessage struct {
+	DataCentre model.DataCentreID
+	Slot       uint8
+	Reach      Reach
+	Generation model.Generation
+	AgeMS      int64
+}
+
+// State is the configuration of one host with what it knows about its freshness. Times are monotonic, since the start of
+// the process.
+type State struct {
+	Catalogue *Replica[*model.Catalogue, change.Change]
+	Fleet     *Replica[Fleet, FleetChange]
+	Reports   Reports
+
+	// heard is the highest generation that a notice named.
+	heard       model.Generation
+	storeHead   storeValue
+	storeFleet  storeValue
+	confirmed   bool
+	confirmedAt time.Duration
+}
+
+// NewState returns the state of a host that has just started.
+func NewState() *State {
+	return &State{Catalogue: NewReplica(CatalogueFormat()), Fleet: NewReplica(FleetFormat())}
+}
+
+// Hear notes that a generation has been accepted somewhere. It returns whether this host lacks it.
+func (s *State) Hear(generation model.Generation) bool {
+	s.heard = max(s.heard, generation)
+	return s.Behind()
+}
+
+// Behind tells whether a newer generation is known to exist.
+func (s *State) Behind() bool { return s.heard > s.Catalogue.Generation() }
+
+// confirm notes that everything accepted before the time is in force here.
+func (s *State) confirm(at time.Duration) {
+	if !s.confirmed || at > s.confirmedAt {
+		s.confirmed = true
+		s.confirmedAt = at
+	}
+}
+
+// Age returns the age of the confirmation, or false if there has been none.
+func (s *State) Age(now time.Duration) (time.Duration, bool) { return now - s.confirmedAt, s.confirmed }
+
+// Fenced tells whether the host may be cut off from accepted changes.
+func (s *State) Fenced(now time.Duration) bool {
+	if s.Catalogue.Generation() == 0 {
+		return true
+	}
+	// A confirmation from before this process started may lack what an earlier run of the host had in force already.
+	if age, ok := s.Age(now); ok && age <= FenceAge && s.confirmedAt >= 0 {
+		return false
+	}
+	if s.Behind() {
+		return true
+	}
+	return !s.Reports.OutageProven(now, s.Catalogue.Document(), s.Catalogue.Generation())
+}
+
+// Answer returns the reply to a pull.
+func (s *State) Answer(now time.Duration, pull Pull) (PullReply, error) {
+	reply := PullReply{Generation: s.Catalogue.Generation(), Fleet: s.Fleet.Generation(), AgeMS: -1}
+	if age, ok := s.Age(now); ok {
+		reply.AgeMS = ceilMS(age)
+	}
+	var errs [2]error
+	reply.HeadUpdate, errs[0] = updateFor(s.Catalogue, pull.Generation)
+	reply.FleetUpdate, errs[1] = updateFor(s.Fleet, pull.Fleet)
+	if s.Reports.Trouble(now) {
+		for _, r := range s.Reports.Active(now) {
+			reply.Reports = append(reply.Reports, ReportMessage{r.DataCentre, r.Slot, r.Reach, r.Generation, ceilMS(now - r.At)})
+		}
+	}
+	return reply, errors.Join(errs[0], errs[1])
+}
+
+func ceilMS(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+func updateFor[D, C any](r *Replica[D, C], generation model.Generation) ([]byte, error) {
+	head, newer, err := r.UpdateFor(generation)
+	if err != nil || !newer {
+		return nil, err
+	}
+	return json.Marshal(head)
+}
+
+// Take applies the reply to a pull that was sent at the time sent. The confirmation that the reply carries counts only if
+// the generations that it speaks of are in force here.
+func (s *State) Take(sent time.Duration, reply PullReply) error {
+	for _, r := range reply.Reports {
+		at := sent - time.Duration(r.AgeMS)*time.Millisecond
+		s.Reports.Put(Report{r.DataCentre, r.Slot, r.Reach, r.Generation, at})
+	}
+	err := errors.Join(offer(s.Catalogue, reply.HeadUpdate), offer(s.Fleet, reply.FleetUpdate))
+	current := s.Catalogue.Generation() >= reply.Generation && s.Fleet.Generation() >= reply.Fleet
+	if current && reply.AgeMS >= 0 {
+		s.confirm(sent - time.Duration(reply.AgeMS)*time.Millisecond)
+	}
+	return err
+}
+
+func offer[D, C any](r *Replica[D, C], update []byte) error {
+	if len(update) == 0 {
+		return nil
+	}
+	head, err := DecodeHead[C](update)
+	if err != nil {
+		return err
+	}
+	return r.Offer(head)
+}
+
+// TakeStore applies the values of the keys head and fleet, read from the store by a call that began at the time sent. An
+// empty value means that the key does not exist.
+func (s *State) TakeStore(sent time.Duration, head, fleet []byte) error {
+	headGeneration, err := offerValue(s.Catalogue, &s.storeHead, head)
+	if err != nil {
+		return err
+	}
+	fleetGeneration, err := offerValue(s.Fleet, &s.storeFleet, fleet)
+	if err != nil {
+		return err
+	}
+	if s.Catalogue.Generation() >= headGeneration && s.Fleet.Generation() >= fleetGeneration {
+		s.confirm(sent)
+	}
+	return nil
+}
+
+// storeValue is the last value read from the store. Relays read twice a second, and it seldom changes.
+type storeValue struct {
+	value      []byte
+	generation model.Generation
+}
+
+// offerValue applies a value of the store and returns its generation.
+func offerValue[D, C any](r *Replica[D, C], last *storeValue, value []byte) (model.Generation, error) {
+	if len(value) == 0 {
+		return 0, nil
+	}
+	if last.generation <= r.Generation() && bytes.Equal(value, last.value) {
+		return last.generation, nil
+	}
+	head, err := DecodeHead[C](value)
+	if err != nil {
+		return 0, err
+	}
+	*last = storeValue{value: value, generation: head.Generation}
+	return head.Generation, r.Offer(head)
+}
+
+// Segment returns the content of a segment that a puller asks for.
+func (s *State) Segment(id SegmentID) ([]byte, bool) {
+	if content, ok := s.Catalogue.Segment(id); ok {
+		return content, true
+	}
+	return s.Fleet.Segment(id)
+}
+
+// Missing returns the segments without which pending generations can't come into force.
+func (s *State) Missing() []SegmentID { return append(s.Catalogue.Missing(), s.Fleet.Missing()...) }
+
+// AddSegment takes the content of a missing segment.
+func (s *State) AddSegment(content []byte) error {
+	return errors.Join(s.Catalogue.AddSegment(content), s.Fleet.AddSegment(content))
+}
--- a/internal/control/accept_test.go
+++ b/internal/control/accept_test.go
@@ -1,4 +1,4 @@
-package control_test
+package control
 
 import (
 	"context"
@@ -15,7 +15,6 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/change"
 	"github.com/knapweedrouter/knapweedrouter/internal/configstate"
-	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -27,7 +26,7 @@
 	d, err := deployment.Load("vembanad")
 	require.NoError(t, err)
 	kv := platform.NewStore()
-	require.NoError(t, control.Bootstrap(context.Background(), kv, d.Catalogue("127.0.0.1", 20000)))
+	require.NoError(t, Bootstrap(context.Background(), kv, d.Catalogue("127.0.0.1", 20000)))
 	return kv
 }
 
@@ -45,11 +44,11 @@
 // Guards against an operator whose change silently replaces another's.
 func TestRacingOperatorsSeeBothSides(t *testing.T) {
 	kv := bootstrapped(t)
-	generation, err := control.Accept(t.Context(), kv, outChange(t, "first", 1, "h1"))
+	generation, err := Accept(t.Context(), kv, outChange(t, "first", 1, "h1"))
 	require.NoError(t, err)
 	require.EqualValues(t, 2, generation)
 	second := outChange(t, "second", 1, "h2")
-	_, err = control.Accept(t.Context(), kv, second)
+	_, err = Accept(t.Context(), kv, second)
 	var conflict *change.Conflict
 	require.ErrorAs(t, err, &conflict)
 	require.Equal(t, second, conflict.Yours)
@@ -63,12 +62,12 @@
 	kv := bootstrapped(t)
 	c := outChange(t, "c", 1, "h1")
 	c.Edits = append(c.Edits, edit(t, change.Search, "s", model.Search{ID: "s", Indexes: []model.IndexID{"none"}}))
-	_, err := control.Accept(t.Context(), kv, c)
+	_, err := Accept(t.Context(), kv, c)
 	require.True(t, fault.IsKind(err, fault.InvalidCatalogue))
 	var violations model.Violations
 	require.ErrorAs(t, err, &violations)
 	require.Len(t, violations, 1)
-	catalogue, _, err := control.ReadCatalogue(t.Context(), kv)
+	catalogue, _, err := ReadCatalogue(t.Context(), kv)
 	require.NoError(t, err)
 	require.Empty(t, catalogue.HostsOut)
 	for _, bad := range []change.Edit{
@@ -76,7 +75,7 @@
 		edit(t, change.HostOut, "h1", map[string]string{"id": "h1", "raeson": "unknown field"}),
 		edit(t, change.HostOut, "h2", model.HostOut{ID: "h1"}),
 	} {
-		_, err = control.Accept(t.Context(), kv, change.Change{ID: "d", BasedOn: 1, Edits: []change.Edit{bad}})
+		_, err = Accept(t.Context(), kv, change.Change{ID: "d", BasedOn: 1, Edits: []change.Edit{bad}})
 		var editError *configstate.EditError
 		require.ErrorAs(t, err, &editError)
 	}
@@ -86,10 +85,10 @@
 func TestManyChangesKeepTheHeadSmall(t *testing.T) {
 	kv := bootstrapped(t)
 	for i := range 200 {
-		_, err := control.Accept(t.Context(), kv, outChange(t, fmt.Sprint("c", i), model.Generation(i+1), model.HostID(fmt.Sprint("h", i))))
+		_, err := Accept(t.Context(), kv, outChange(t, fmt.Sprint("c", i), model.Generation(i+1), model.HostID(fmt.Sprint("h", i))))
 		require.NoError(t, err)
 	}
-	catalogue, records, err := control.ReadCatalogue(t.Context(), kv)
+	catalogue, records, err := ReadCatalogue(t.Context(), kv)
 	require.NoError(t, err)
 	require.Len(t, catalogue.HostsOut, 200)
 	require.Len(t, records, configstate.MaxRecords)
@@ -103,7 +102,7 @@
 // naiveAccept sends a change again when its answer is lost, without looking for its id.
 func naiveAccept(ctx context.Context, s store.Store, c change.Change) (model.Generation, error) {
 	for {
-		catalogue, _, err := control.ReadCatalogue(ctx, s)
+		catalogue, _, err := ReadCatalogue(ctx, s)
 		if err != nil {
 			return 0, err
 		}
@@ -158,7 +157,7 @@
 // description of a change that was applied twice, or reported otherwise than it happened.
 func operators(t *testing.T, plan []storeFault, accept acceptFunc) string {
 	kv := platform.NewStore()
-	require.NoError(t, control.Bootstrap(t.Context(), kv, model.Catalogue{}))
+	require.NoError(t, Bootstrap(t.Context(), kv, model.Catalogue{}))
 	var mu sync.Mutex
 	accepted := map[string]model.Generation{}
 	var refused []string
@@ -236,7 +235,7 @@
 		plan := drawFaults(rt)
 		var result, naive string
 		synctest.Test(t, func(t *testing.T) {
-			result = operators(t, plan, control.Accept)
+			result = operators(t, plan, Accept)
 			naive = operators(t, plan, naiveAccept)
 		})
 		require.Empty(rt, result)
--- a/internal/control/main_test.go
+++ b/internal/control/main_test.go
@@ -1,4 +1,4 @@
-package control_test
+package control
 
 import (
 	"flag"
