--- a/internal/bench/naive.go
+++ b/internal/bench/naive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/merge"
@@ -89,17 +89,13 @@
 }
 
 func (h *naiveHost) readCatalogue(ctx context.Context) {
-	entry, err := h.world.store.Get(ctx, headKey)
+	catalogue, _, err := control.ReadCatalogue(ctx, h.world.store)
 	if err != nil {
 		return
 	}
-	var catalogue model.Catalogue
-	if json.Unmarshal(entry.Value, &catalogue) != nil {
-		return
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.catalogue = catalogue
+	h.catalogue = *catalogue
 	for _, c := range catalogue.Callers {
 		if h.limits[c.ID] == nil {
 			h.limits[c.ID] = rate.NewLimiter(rate.Limit(c.Rate), max(1, int(c.Rate/10)))
--- a/internal/dev/environment.go
+++ b/internal/dev/environment.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -17,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
 	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -165,12 +165,7 @@
 
 // Seed writes the first catalogue into an empty store.
 func Seed(ctx context.Context, kv *platform.Store, catalogue model.Catalogue) error {
-	value, err := json.Marshal(catalogue)
-	if err != nil {
-		return err
-	}
-	_, err = kv.CompareAndSwap(ctx, "head", 0, value)
-	return err
+	return control.Bootstrap(ctx, kv, catalogue)
 }
 
 // makeHosts reserves the addresses of the hosts and returns their records of the host list.
