Give the target client its own connections and a conformance suite

Cause: net/http's transport pools connections out of sight: a silent connection could not be told from a slow target, one batch of them was opened again all at once, a cancel request waited behind the attempts that held all connections, and the limit could not change at run time.

Ruled out: net/http.Transport with hooks; it may send a request again on another connection when it believes that none of it was read, and it has no limit that changes. net/http still writes the requests and parses the replies.

Change: a pool per target with a limit that SetLimit changes, one connection of it kept for cancel and status requests. A request is written once, on one connection. A connection without a reply 50 ms after the deadline is retired, with all idle ones that have been quiet since; while a target is suspect one connection is opened at a time. Unexpected bytes and ends are noticed on idle connections, too. A cancelled context sends a cancel request and waits for the attempt's own reply. ErrLate is new; Execute returns a late result, because it tells the outcome. The stand-in shows silent, reset, crossed, truncated and wrong-version replies on request, can silence its open connections, and has an in-process client with a delay per target. Both clients run internal/targetclient/targettest.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -61,7 +61,11 @@
 			stop()
 			return nil, fmt.Errorf("target stand-in %s: %w", t.ID, err)
 		}
-		server := &http.Server{Handler: target.NewHandler(targets[t.ID]), ReadHeaderTimeout: time.Second}
+		server := &http.Server{
+			Handler:           target.NewHandler(targets[t.ID]),
+			ConnContext:       targets[t.ID].ConnContext,
+			ReadHeaderTimeout: time.Second,
+		}
 		servers = append(servers, server)
 		go server.Serve(listener)
 	}
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -27,7 +27,35 @@
 	router.PUT("/standin/state", h.setState)
 	router.PUT("/standin/poison", h.setPoison)
 	router.POST("/standin/crash", h.crash)
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.silenced(r.Context()) {
+			silence(r)
+		}
+		router.ServeHTTP(w, r)
+	})
+}
+
+// endWithout ends the request without a reply if the fault says so.
+func endWithout(r *http.Request, fault Fault) {
+	switch fault {
+	case FaultSilent:
+		silence(r)
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// replyDamaged sends a reply. The checksum of a truncated one is that of the whole.
+func replyDamaged(w http.ResponseWriter, whole, sent any, fault Fault) {
+	if fault == FaultTruncated {
+		body, err := json.Marshal(whole)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	}
+	reply(w, http.StatusOK, sent)
 }
 
 func (h *Handler) search(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -40,7 +68,9 @@
 		replyError(w, request.Attempt, err)
 		return
 	}
-	reply(w, http.StatusOK, answer)
+	fault := h.target.takeFault()
+	endWithout(r, fault)
+	replyDamaged(w, answer, h.target.damageSearch(fault, request, answer), fault)
 }
 
 func (h *Handler) execute(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -53,7 +83,13 @@
 		replyError(w, request.Attempt, err)
 		return
 	}
-	reply(w, http.StatusOK, answer)
+	fault := h.target.takeFault()
+	endWithout(r, fault)
+	sent := answer
+	if fault != "" {
+		sent.Attempt.Sequence++
+	}
+	replyDamaged(w, answer, sent, fault)
 }
 
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -148,7 +184,9 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	if w.Header().Get(wire.HeaderChecksum) == "" {
+		w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // the reader has gone when this fails
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -72,6 +72,10 @@
 	servedCold  int
 	poison      string
 	hideState   bool
+	faults      []Fault
+	connections int
+	// silentBefore is the number of the last connection that stays silent.
+	silentBefore int
 }
 
 type documentsKey struct {
--- /dev/null
+++ b/internal/targetclient/check.go
@@ -0,0 +1,40 @@
+package targetclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// SilenceGrace is the time after an attempt's deadline after which its connection counts as silent. The reply of a target
+// that keeps to the deadline arrives within it.
+const SilenceGrace = 50 * time.Millisecond
+
+// CheckSearch returns ErrMismatch unless the reply is the one to the request.
+func CheckSearch(target model.TargetID, request *SearchRequest, reply *SearchReply) error {
+	matches := reply.Attempt == request.Attempt && reply.Target == target && reply.Index == request.Index &&
+		reply.Shard == request.Shard && reply.Version == request.Version
+	if !matches {
+		return ErrMismatch
+	}
+	return nil
+}
+
+// CheckExecute returns ErrMismatch unless the reply is the one to the request.
+func CheckExecute(target model.TargetID, request *ExecuteRequest, reply *ExecuteReply) error {
+	if reply.Attempt != request.Attempt || reply.Target != target {
+		return ErrMismatch
+	}
+	return nil
+}
+
+// Deadline returns the time at which an attempt has to be answered: after deadlineMS milliseconds or at the context's
+// deadline, whichever is first.
+func Deadline(ctx context.Context, deadlineMS int64) time.Time {
+	deadline := time.Now().Add(time.Duration(deadlineMS) * time.Millisecond)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		return limit
+	}
+	return deadline
+}
--- a/internal/targetclient/http.go
+++ b/internal/targetclient/http.go
@@ -6,40 +6,107 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
-	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/wire"
 )
 
-const maxReplyBytes = 8 << 20
+// controlTimeout bounds status requests without a deadline and the cancel requests that follow a cancelled context.
+const controlTimeout = 500 * time.Millisecond
+
+// Counters count what happened on the connections of a client.
+type Counters struct {
+	// Opened counts connections that were opened, failed ones included.
+	Opened atomic.Int64
+	// Retired counts connections given up for silence.
+	Retired atomic.Int64
+	// Silent, Mismatched, Late and Lost count attempts by the error that they returned.
+	Silent, Mismatched, Late, Lost atomic.Int64
+	// Unexpected counts replies on connections where no request was waiting.
+	Unexpected atomic.Int64
+}
 
 // HTTP is a TargetClient over HTTP/1.1 with one attempt per connection at a time.
-type HTTP struct{ client *http.Client }
+//
+// It keeps its own connections, because the transport of net/http can send a request again on another connection and
+// does not tell which connection has fallen silent.
+type HTTP struct {
+	dial     Dial
+	counters Counters
+
+	mu    sync.RWMutex
+	limit int
+	pools map[model.TargetID]*pool
+}
+
+var _ TargetClient = (*HTTP)(nil)
 
-// NewHTTP returns a client that opens at most maxConnections connections to each target.
+// NewHTTP returns a client that opens at most maxConnections TCP connections to each target.
 func NewHTTP(maxConnections int) *HTTP {
-	transport := &http.Transport{
-		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: maxConnections,
-		DisableCompression:  true,
+	var dialer net.Dialer
+	return NewHTTPOver(maxConnections, func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewHTTPOver returns a client that opens its connections with dial.
+func NewHTTPOver(maxConnections int, dial Dial) *HTTP {
+	return &HTTP{dial: dial, limit: maxConnections, pools: map[model.TargetID]*pool{}}
+}
+
+// SetLimit changes the number of connections to a target. Surplus connections close as soon as they are idle.
+func (h *HTTP) SetLimit(target model.Target, connections int) { h.pool(target).setLimit(connections) }
+
+// Counters returns the client's counters.
+func (h *HTTP) Counters() *Counters { return &h.counters }
+
+// Close ends idle connections and refuses new requests.
+func (h *HTTP) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.pools {
+		p.close()
 	}
-	return &HTTP{client: &http.Client{Transport: transport}}
+}
+
+// pool returns the target's pool. A target that has moved to another address gets a new one.
+func (h *HTTP) pool(target model.Target) *pool {
+	h.mu.RLock()
+	p := h.pools[target.ID]
+	h.mu.RUnlock()
+	if p != nil && p.address == target.Address {
+		return p
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p = h.pools[target.ID]
+	if p == nil || p.address != target.Address {
+		if p != nil {
+			p.close()
+		}
+		p = &pool{address: target.Address, dial: h.dial, counters: &h.counters, limit: h.limit}
+		h.pools[target.ID] = p
+	}
+	return p
 }
 
 // Search implements TargetClient.
 func (h *HTTP) Search(ctx context.Context, target model.Target, request SearchRequest) (SearchReply, error) {
 	var reply SearchReply
-	if err := h.attempt(ctx, target, wire.PathSearch, request.Attempt, request, &reply); err != nil {
+	late, err := h.attempt(ctx, target, wire.PathSearch, request.Attempt, request.DeadlineMS, request, &reply, func() error {
+		return CheckSearch(target.ID, &request, &reply)
+	})
+	if err != nil {
 		return SearchReply{}, err
 	}
-	matches := reply.Attempt == request.Attempt && reply.Target == target.ID && reply.Index == request.Index &&
-		reply.Shard == request.Shard && reply.Version == request.Version
-	if !matches {
-		return SearchReply{}, ErrMismatch
+	if late {
+		h.counters.Late.Add(1)
+		return SearchReply{}, ErrLate
 	}
 	return reply, nil
 }
@@ -47,12 +114,12 @@
 // Execute implements TargetClient.
 func (h *HTTP) Execute(ctx context.Context, target model.Target, request ExecuteRequest) (ExecuteReply, error) {
 	var reply ExecuteReply
-	if err := h.attempt(ctx, target, wire.PathExecute, request.Attempt, request, &reply); err != nil {
+	_, err := h.attempt(ctx, target, wire.PathExecute, request.Attempt, request.DeadlineMS, request, &reply, func() error {
+		return CheckExecute(target.ID, &request, &reply)
+	})
+	if err != nil {
 		return ExecuteReply{}, err
 	}
-	if reply.Attempt != request.Attempt || reply.Target != target.ID {
-		return ExecuteReply{}, ErrMismatch
-	}
 	return reply, nil
 }
 
@@ -62,27 +129,19 @@
 	if err != nil {
 		return err
 	}
-	response, err := h.post(ctx, target, wire.PathCancel, body)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
+	_, err = h.control(ctx, target, http.MethodPost, wire.PathCancel, body)
+	return err
 }
 
 // Status implements TargetClient.
 func (h *HTTP) Status(ctx context.Context, target model.Target) (model.TargetStatus, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+wire.PathStatus, nil)
+	got, err := h.control(ctx, target, http.MethodGet, wire.PathStatus, nil)
 	if err != nil {
 		return model.TargetStatus{}, err
 	}
-	response, err := h.client.Do(request)
-	if err != nil {
-		return model.TargetStatus{}, err
-	}
-	defer response.Body.Close()
 	var status model.TargetStatus
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&status); err != nil {
-		return model.TargetStatus{}, err
+	if err := json.Unmarshal(got.body, &status); err != nil {
+		return model.TargetStatus{}, fmt.Errorf("%w: %w", ErrMismatch, err)
 	}
 	if status.Target != target.ID {
 		return model.TargetStatus{}, ErrMismatch
@@ -90,44 +149,64 @@
 	return status, nil
 }
 
-// attempt sends one attempt and decodes its whole, checked reply.
-func (h *HTTP) attempt(ctx context.Context, target model.Target, path string, id model.AttemptID, request, reply any) error {
-	body, err := json.Marshal(request)
+func (h *HTTP) control(ctx context.Context, target model.Target, method, path string, body []byte) (received, error) {
+	x := exchange{client: h, target: target, pool: h.pool(target), control: true}
+	x.deadline = Deadline(ctx, controlTimeout.Milliseconds())
+	got, err := x.run(ctx, method, path, body)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+		return received{}, err
+	}
+	x.finish(true)
+	if got.status != http.StatusOK {
+		return received{}, fmt.Errorf("target answered %s with status %d", path, got.status)
 	}
-	// A request may have left as soon as a connection was obtained for it.
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := h.post(httptrace.WithClientTrace(ctx, trace), target, path, body)
+	return got, nil
+}
+
+// attempt sends one attempt, once, and decodes its whole, checked reply.
+func (h *HTTP) attempt(ctx context.Context, target model.Target, path string, id model.AttemptID, deadlineMS int64,
+	request, reply any, check func() error) (late bool, err error) {
+	body, err := json.Marshal(request)
 	if err != nil {
-		if !connected.Load() {
-			return fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-		return lost(err)
+		return false, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	defer response.Body.Close()
-	received, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	x := exchange{client: h, target: target, pool: h.pool(target), attempt: id, deadline: Deadline(ctx, deadlineMS)}
+	got, err := x.run(ctx, http.MethodPost, path, body)
 	if err != nil {
-		return lost(err)
+		h.count(err)
+		return false, err
+	}
+	late = time.Now().After(x.deadline)
+	err = decode(got, id, reply, check)
+	// After a crossed reply nobody knows whose reply comes next, so the connection is given up.
+	x.finish(!errors.Is(err, ErrMismatch))
+	h.count(err)
+	return late, err
+}
+
+func (h *HTTP) count(err error) {
+	switch {
+	case errors.Is(err, ErrSilent):
+		h.counters.Silent.Add(1)
+	case errors.Is(err, ErrMismatch):
+		h.counters.Mismatched.Add(1)
+	case errors.Is(err, ErrLost):
+		h.counters.Lost.Add(1)
 	}
-	if wire.Checksum(received) != response.Header.Get(wire.HeaderChecksum) {
-		return ErrMismatch
+}
+
+// decode checks a reply. Length and checksum prove that it is whole.
+func decode(got received, id model.AttemptID, reply any, check func() error) error {
+	if wire.Checksum(got.body) != got.checksum {
+		return fmt.Errorf("%w: checksum", ErrMismatch)
 	}
-	if response.StatusCode != http.StatusOK {
-		return refusal(received, id)
+	if got.status != http.StatusOK {
+		return refusal(got.body, id)
 	}
-	if err := json.Unmarshal(received, reply); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(got.body)).Decode(reply); err != nil {
 		return fmt.Errorf("%w: %w", ErrMismatch, err)
 	}
-	return nil
-}
-
-func lost(err error) error {
-	if errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("%w: %w", ErrSilent, err)
-	}
-	return fmt.Errorf("%w: %w", ErrLost, err)
+	return check()
 }
 
 // refusal reads an error reply. One that names another attempt proves nothing about this one.
@@ -150,15 +229,3 @@
 	}
 	return fmt.Errorf("%w: target answered %q", ErrLost, refused.Code)
 }
-
-func (h *HTTP) post(ctx context.Context, target model.Target, path string, body []byte) (*http.Response, error) {
-	url := "http://" + target.Address + path
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	// Without GetBody the transport never sends a request a second time.
-	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	return h.client.Do(request)
-}
--- /dev/null
+++ b/internal/targetclient/http_test.go
@@ -0,0 +1,223 @@
+package targetclient_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/target"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient/targettest"
+)
+
+func TestHTTPConformance(t *testing.T) {
+	targettest.Run(t, func(targets map[model.TargetID]*target.Target) (targetclient.TargetClient, func()) {
+		network := targettest.NewNetwork(targets)
+		client := targetclient.NewHTTPOver(4, network.Dial)
+		return client, func() {
+			client.Close()
+			network.Close()
+		}
+	})
+}
+
+// overHTTP runs a check with a client of up to four connections, each of which takes 6 ms to open.
+func overHTTP(t *testing.T, check func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network)) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := targettest.NewTargets()
+		network := targettest.NewNetwork(targets)
+		network.ConnectTime = 6 * time.Millisecond
+		client := targetclient.NewHTTPOver(4, network.Dial)
+		check(targettest.NewFixture(t, client, targets["t"]), client, network)
+		client.Close()
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// parallel runs count operations at once and returns their errors.
+func parallel(f *targettest.Fixture, count int) []error {
+	results := make([]error, count)
+	var group sync.WaitGroup
+	for i := range results {
+		group.Go(func() { _, results[i] = f.Execute(context.Background()) })
+	}
+	group.Wait()
+	return results
+}
+
+// TestConnectionLimitChangesAtRunTime guards against more connections than this host's share of the target's limit.
+func TestConnectionLimitChangesAtRunTime(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		parallel(f, 6)
+		require.EqualValues(t, 3, network.MaxOpen.Load(), "one of four is kept for cancel and status")
+		client.SetLimit(f.Target, 2)
+		require.EqualValues(t, 2, network.Open.Load())
+		network.MaxOpen.Store(0)
+		parallel(f, 4)
+		require.LessOrEqual(t, network.Open.Load(), int64(2))
+		require.Zero(t, network.MaxOpen.Load(), "no new connection is needed")
+		client.SetLimit(f.Target, 6)
+		parallel(f, 6)
+		require.EqualValues(t, 5, network.MaxOpen.Load())
+		client.SetLimit(f.Target, 1)
+		network.CloseIdle()
+		synctest.Wait()
+		network.Opened.Store(0)
+		go parallel(f, 2)
+		_, err := client.Status(context.Background(), f.Target)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, network.Opened.Load(), "status shares the only connection with attempts")
+	})
+}
+
+// TestSilentConnectionsCauseNoStorm guards against a batch of silent connections that are all opened again at once, and
+// against attempts that go on falling into old silent connections.
+func TestSilentConnectionsCauseNoStorm(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		client.SetLimit(f.Target, 7)
+		for _, err := range parallel(f, 6) {
+			require.NoError(t, err)
+		}
+		f.Standin.SilenceConnections()
+		network.Opened.Store(0)
+		network.MaxOpening.Store(0)
+		_, err := f.Execute(context.Background())
+		require.ErrorIs(t, err, targetclient.ErrSilent)
+		require.EqualValues(t, 6, client.Counters().Retired.Load(), "idle connections are retired with the silent one")
+		f.Standin.SetSlowdown(5) // no reply clears the suspicion within 20 ms
+		done := make(chan []error)
+		go func() { done <- parallel(f, 6) }()
+		time.Sleep(20 * time.Millisecond)
+		opening, opened := network.MaxOpening.Load(), network.Opened.Load()
+		for _, err := range <-done {
+			require.NotErrorIs(t, err, targetclient.ErrSilent)
+		}
+		require.EqualValues(t, 1, opening)
+		require.EqualValues(t, 4, opened, "one after the other, 6 ms each")
+		require.LessOrEqual(t, network.Opened.Load(), int64(6))
+	})
+}
+
+// TestBusySilentConnectionsAreReplacedOneAtATime guards against the same storm when attempts were waiting on all of them.
+func TestBusySilentConnectionsAreReplacedOneAtATime(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		parallel(f, 3)
+		f.Standin.SilenceConnections()
+		network.MaxOpening.Store(0)
+		later := make(chan []error)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			later <- parallel(f, 3)
+		}()
+		for _, err := range parallel(f, 3) {
+			require.ErrorIs(t, err, targetclient.ErrSilent)
+		}
+		for _, err := range <-later {
+			require.NoError(t, err)
+		}
+		require.EqualValues(t, 1, network.MaxOpening.Load())
+		require.EqualValues(t, 3, client.Counters().Retired.Load())
+	})
+}
+
+// recorder keeps what the client writes on all connections.
+type recorder struct {
+	net.Conn
+	mu      *sync.Mutex
+	written *bytes.Buffer
+}
+
+func (r recorder) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	r.written.Write(b)
+	r.mu.Unlock()
+	return r.Conn.Write(b)
+}
+
+// TestRequestLeavesAtMostOnce guards P7 at the level of bytes: whatever breaks, a request is written at most once, and
+// not at all if the error says that it was not sent.
+func TestRequestLeavesAtMostOnce(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		var mu sync.Mutex
+		var written bytes.Buffer
+		network.Wrap = func(conn net.Conn) net.Conn { return recorder{conn, &mu, &written} }
+		for round := range 30 {
+			breaks := []func(){
+				func() { f.Standin.Inject(target.FaultReset, 1) },
+				network.CloseIdle,
+				f.Standin.SilenceConnections,
+				func() { time.AfterFunc(5*time.Millisecond, network.CloseIdle) },
+				f.Standin.Crash,
+			}
+			breaks[round%len(breaks)]()
+			id, err := f.Execute(context.Background())
+			mu.Lock()
+			count := bytes.Count(written.Bytes(), []byte(id.String()))
+			mu.Unlock()
+			require.LessOrEqual(t, count, 1, "round %d", round)
+			require.True(t, err != nil || count == 1)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
+// TestClosedIdleConnectionIsNotUsed guards against an outcome that is unknown only because an old connection was used.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		parallel(f, 3)
+		network.CloseIdle()
+		synctest.Wait()
+		for _, err := range parallel(f, 3) {
+			require.NoError(t, err)
+		}
+	})
+}
+
+// TestCancelPassesBusyConnections guards against a cancel request that waits behind the attempts that hold all connections.
+func TestCancelPassesBusyConnections(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		f.Standin.SetSlowdown(9)
+		ctx, stop := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, stop)
+		started := time.Now()
+		var group sync.WaitGroup
+		results := make([]error, 2)
+		client.SetLimit(f.Target, 3)
+		for i := range results {
+			group.Go(func() { _, _, results[i] = f.Search(ctx) })
+		}
+		group.Wait()
+		require.ErrorIs(t, results[0], targetclient.ErrCancelled)
+		require.ErrorIs(t, results[1], targetclient.ErrCancelled)
+		require.Less(t, time.Since(started), 40*time.Millisecond)
+	})
+}
+
+// TestUnexpectedBytesRetireConnection guards against a late reply that is taken for the reply to the next request.
+func TestUnexpectedBytesRetireConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		client := targetclient.NewHTTPOver(2, func(context.Context, string) (net.Conn, error) { return near, nil })
+		go func() {
+			buffer := make([]byte, 1024)
+			_, _ = far.Read(buffer)
+			_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+			_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+		}()
+		_ = client.Cancel(context.Background(), model.Target{ID: "t", Address: "t"}, model.AttemptID{})
+		synctest.Wait()
+		require.EqualValues(t, 1, client.Counters().Unexpected.Load())
+		_, err := near.Write([]byte("x"))
+		require.ErrorIs(t, err, io.ErrClosedPipe, "the connection is closed")
+		client.Close()
+	})
+}
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -84,13 +84,18 @@
 }
 
 // TargetClient sends work to targets. Implementations are safe for concurrent use and never send an attempt twice.
+//
+// Search and Execute return when the attempt's own reply has arrived, so the slot at the target is free when they return,
+// or at the latest SilenceGrace after the deadline, which is the request's or the context's, whichever is first. When
+// the context is cancelled, an attempt that was not sent returns ErrNotSent at once; one that was sent is cancelled at
+// the target, and the call goes on waiting for its reply.
 type TargetClient interface {
-	// Search runs a search attempt. The context's deadline bounds the wait.
+	// Search runs a search attempt.
 	Search(ctx context.Context, target model.Target, request SearchRequest) (SearchReply, error)
-	// Execute runs an operation.
+	// Execute runs an operation. A reply that arrives late is returned, because it tells the outcome.
 	Execute(ctx context.Context, target model.Target, request ExecuteRequest) (ExecuteReply, error)
 	// Cancel asks the target to stop an attempt. The slot is free when the attempt's own reply arrives.
 	Cancel(ctx context.Context, target model.Target, attempt model.AttemptID) error
-	// Status returns the target's report about itself.
+	// Status returns the target's report about itself. The context's deadline bounds the wait.
 	Status(ctx context.Context, target model.Target) (model.TargetStatus, error)
 }
