--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
 	"github.com/knapweedrouter/knapweedrouter/internal/dev"
+	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/fleet"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/platform"
@@ -28,6 +31,7 @@
 	Platform   string `long:"platform" default:"127.0.0.1:7000" description:"IP:port of the store and host list"`
 	FirstPort  int    `long:"first-port" default:"20000" description:"port of the first target"`
 	Token      string `long:"trial-token" default:"trial" description:"token of the caller 'trial' in the first catalogue"`
+	HostsFile  string `long:"hosts-file" description:"JSON file with the records of the host list"`
 	Targets    bool   `long:"targets" description:"run the targets"`
 	Store      bool   `long:"store" description:"run the store and the host list"`
 }
@@ -51,7 +55,7 @@
 		fmt.Printf("%d targets from port %d\n", len(targets), c.FirstPort)
 	}
 	if c.Store {
-		if err := servePlatform(ctx, c.Platform, catalogue); err != nil {
+		if err := c.servePlatform(ctx, catalogue); err != nil {
 			return err
 		}
 	}
@@ -59,27 +63,47 @@
 	return nil
 }
 
-func servePlatform(ctx context.Context, address string, catalogue model.Catalogue) error {
+func (c *standinCommand) servePlatform(ctx context.Context, catalogue model.Catalogue) error {
+	records, err := c.hostRecords()
+	if err != nil {
+		return err
+	}
 	kv := platform.NewStore()
 	if err := dev.Seed(ctx, kv, catalogue); err != nil {
 		return eris.Wrap(err, "first catalogue")
 	}
 	server := &http.Server{
-		Addr:              address,
-		Handler:           platform.NewHandler(kv, platform.NewHostList(nil)),
+		Addr:              c.Platform,
+		Handler:           platform.NewHandler(kv, platform.NewHostList(records)),
 		ReadHeaderTimeout: time.Second,
 	}
 	go func() {
 		<-ctx.Done()
 		server.Close()
 	}()
-	fmt.Printf("store and host list at %s\n", address)
+	fmt.Printf("store and host list at %s\n", c.Platform)
 	if err := server.ListenAndServe(); err != http.ErrServerClosed {
 		return eris.Wrap(err, "platform stand-in")
 	}
 	return nil
 }
 
+// hostRecords reads the file of the host list.
+func (c *standinCommand) hostRecords() ([]hostlist.Record, error) {
+	if c.HostsFile == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(c.HostsFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "hosts file")
+	}
+	var records []hostlist.Record
+	if err := json.Unmarshal(content, &records); err != nil {
+		return nil, eris.Wrapf(err, "hosts file %s", c.HostsFile)
+	}
+	return records, nil
+}
+
 // trialCatalogue returns the deployment's catalogue with one caller that may use everything.
 func trialCatalogue(d deployment.Deployment, firstPort int, token string) model.Catalogue {
 	catalogue := d.Catalogue(standinAddress, firstPort)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -98,3 +98,16 @@
 	}
 	return all
 }
+
+// Guards against a setting that the reference lacks.
+func TestReferenceListsEveryField(t *testing.T) {
+	reference, err := os.ReadFile("../../docs/settings.md")
+	require.NoError(t, err)
+	content, err := json.Marshal(valid())
+	require.NoError(t, err)
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(content, &fields))
+	for field := range fields {
+		require.Contains(t, string(reference), "| `"+field+"` |")
+	}
+}
