--- a/internal/bench/naive.go
+++ b/internal/bench/naive.go
@@ -172,7 +172,7 @@
 	}
 	for _, s := range h.catalogue.Searches {
 		if s.ID == search {
-			return snapshot.Choose(s.Indexes, reports)
+			return snapshot.New(s.Indexes, reports).Choose()
 		}
 	}
 	return snapshot.Snapshot{}
--- a/internal/cli/checkconfig.go
+++ b/internal/cli/checkconfig.go
@@ -91,7 +91,12 @@
 
 func checkCatalogue(content []byte) strictjson.Faults {
 	var catalogue model.Catalogue
-	return strictjson.Decode(content, &catalogue)
+	form := strictjson.Decode(content, &catalogue)
+	var values strictjson.Faults
+	for _, v := range catalogue.Validate() {
+		values = append(values, strictjson.Fault{Path: "$." + v.Path, Value: v.Value, Allowed: v.Allowed, Remedy: v.Remedy})
+	}
+	return strictjson.Merge(form, values)
 }
 
 // unknownDocument reports a document that is broken, or that has no field of either form.
--- a/internal/cli/checkconfig_test.go
+++ b/internal/cli/checkconfig_test.go
@@ -22,6 +22,7 @@
 
 // Guards against a catalogue field that is spelled wrong deep inside and is silently ignored.
 func TestCheckDocumentFindsNestedUnknownFields(t *testing.T) {
-	_, faults := checkDocument([]byte(`{"callers":[{"id":"c","rat":5}]}`), false)
+	_, faults := checkDocument([]byte(`{"callers":[{"id":"c","rat":5,"owner":"o","class":"batch","in_flight":1,"cost":1}]}`), false)
 	require.Equal(t, "$.callers[0].rat", faults[0].Path)
+	require.Contains(t, faults.Error(), "$.callers[0].rate:", "the values of the same document are checked as well")
 }
