--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -15,7 +15,7 @@
 
 const (
 	maxNameLength = 128 // as in the catalogue, which names the same data centres
-	maxSecrets    = 2 // the old one and the new one during a rotation
+	maxSecrets    = 2   // the old one and the new one during a rotation
 	// minSecretBytes is 128 bits, so that a secret can't be found by trying.
 	minSecretBytes = 16
 	maxSecretBytes = 4096
