Explain recent queries and log refused and partial answers

Cause: nobody could tell afterwards how a query went, and refusals left no trace beside a counter. Ruled out: a log line for every answer, because one careless caller would fill the log; records without bound. Change: internal/explain keeps the newest 1,024 queries of a host with at most 256 attempts each; the record travels in the request's context, so the engine can add its attempts without a change of interfaces. X-Query-Id names the query, also in refusals. One log line per refused or partial answer, limited per caller. Conclusion: TestRecorderIsBounded and TestLogIsLimitedPerCaller show the bounds: of 1,000 refusals 5 lines are written, and the next line reports 995 suppressed.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
@@ -62,18 +63,23 @@
 	logger     *zap.Logger
 	searcher   Searcher
 	catalogues Catalogues
-	meter      *meter
+	observer   *observer
 }
 
-// New returns the caller API. It adds its metrics to the set.
-func New(logger *zap.Logger, searcher Searcher, catalogues Catalogues, set *metrics.Set) *API {
-	return &API{logger: logger, searcher: searcher, catalogues: catalogues, meter: newMeter(set)}
+// New returns the caller API. It adds its metrics to the set and its queries to the recorder.
+func New(logger *zap.Logger, searcher Searcher, catalogues Catalogues, set *metrics.Set, recorder *explain.Recorder) *API {
+	return &API{
+		logger:     logger,
+		searcher:   searcher,
+		catalogues: catalogues,
+		observer:   newObserver(set, recorder, newAnswerLog(logger)),
+	}
 }
 
 // Handler returns the HTTP routes.
 func (a *API) Handler() http.Handler {
 	router := httprouter.New()
-	router.POST("/v1/search", a.meter.measure("search", a.search))
+	router.POST("/v1/search", a.observer.observe("search", a.search))
 	router.GET("/readyz", a.ready)
 	return router
 }
@@ -92,7 +98,8 @@
 		writeError(w, fault.As(err))
 		return
 	}
-	countCoverage(w, reply.Coverage.Fraction)
+	reply.QueryID = explain.From(r.Context()).ID()
+	observeAnswer(w, reply)
 	writeJSON(w, http.StatusOK, reply)
 }
 
@@ -109,6 +116,7 @@
 	if err != nil {
 		return SearchReply{}, err
 	}
+	observeRequest(r, caller.ID, string(request.Search), request.DeadlineMS)
 	if !slices.Contains(caller.Searches, request.Search) {
 		return SearchReply{}, fault.New(fault.Forbidden, fault.NotRun,
 			"ask the operators to grant the search", "caller %s may not use search %q", caller.ID, request.Search)
@@ -171,7 +179,7 @@
 }
 
 func writeError(w http.ResponseWriter, err *fault.Error) {
-	countRefusal(w, err)
+	observeRefusal(w, err)
 	writeJSON(w, err.HTTPStatus(), ErrorReply{Error: err})
 }
 
--- a/internal/callerapi/metrics_test.go
+++ b/internal/callerapi/observe_test.go
@@ -8,12 +8,17 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	zaptest "go.uber.org/zap/zaptest/observer"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/explain"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
 )
@@ -31,16 +36,26 @@
 	return &model.Catalogue{Callers: []model.Caller{{ID: "c", TokenSHA256: []string{sum}, Searches: []model.SearchID{"s"}}}}
 }
 
-// Guards against refusals or partial answers that no metric counts, and against metrics that the documentation lacks.
-func TestMetricsCountAnswersAndRefusals(t *testing.T) {
+// Guards against refusals or partial answers that no metric counts or no record explains, and against metrics that the
+// documentation lacks.
+func TestAnswersAndRefusalsAreCountedAndRecorded(t *testing.T) {
 	set := metrics.NewSet()
-	handler := New(zap.NewNop(), halfSearcher{}, oneCaller{}, set).Handler()
+	recorder := explain.New(16)
+	handler := New(zap.NewNop(), halfSearcher{}, oneCaller{}, set, recorder).Handler()
+	var records []explain.Record
 	for _, token := range []string{"secret", "wrong"} {
 		body := strings.NewReader(`{"search":"s","limit":1,"deadline_ms":10}`)
 		request := httptest.NewRequest(http.MethodPost, "/v1/search", body)
 		request.Header.Set("Authorization", "Bearer "+token)
-		handler.ServeHTTP(httptest.NewRecorder(), request)
+		response := httptest.NewRecorder()
+		handler.ServeHTTP(response, request)
+		record, kept := recorder.Explain(response.Header().Get(HeaderQueryID))
+		require.True(t, kept)
+		records = append(records, record.(explain.Record))
 	}
+	require.Equal(t, 0.5, *records[0].Coverage)
+	require.Equal(t, model.CallerID("c"), records[0].Caller)
+	require.Equal(t, fault.Unauthenticated, records[1].Refusal.Kind)
 	var text bytes.Buffer
 	set.WritePrometheus(&text)
 	for _, line := range []string{
@@ -60,3 +75,21 @@
 		require.Contains(t, string(documented), "`"+base+"`")
 	}
 }
+
+// Guards against a caller that fills the log with its refusals, and against a limit that hides another caller's refusals.
+func TestLogIsLimitedPerCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, lines := zaptest.New(zap.InfoLevel)
+		log := newAnswerLog(zap.New(core))
+		refusal := fault.New(fault.RateLimited, fault.NotRun, "", "")
+		for range 1000 {
+			log.write(explain.Record{Caller: "careless", Refusal: refusal})
+		}
+		require.Equal(t, logBurst, lines.Len())
+		log.write(explain.Record{Caller: "other", Refusal: refusal})
+		require.Equal(t, logBurst+1, lines.Len())
+		time.Sleep(time.Second)
+		log.write(explain.Record{Caller: "careless", Refusal: refusal})
+		require.Equal(t, int64(1000-logBurst), lines.All()[logBurst+1].ContextMap()["suppressed"])
+	})
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against records that grow without bound, in number or in size, and against a record under another query's id.
+func TestRecorderIsBounded(t *testing.T) {
+	recorder := New(3)
+	var queries []*Query
+	for range 5 {
+		q := recorder.Begin("search")
+		for range MaxAttempts + 2 {
+			q.Attempt(Attempt{Role: "first"}, time.Now(), time.Now())
+		}
+		recorder.End(q)
+		queries = append(queries, q)
+	}
+	require.Len(t, recorder.byID, 3)
+	for i, q := range queries {
+		record, kept := recorder.Explain(q.ID())
+		require.Equal(t, i >= 2, kept)
+		if kept {
+			require.Equal(t, q.ID(), record.(Record).QueryID)
+			require.Len(t, record.(Record).Attempts, MaxAttempts)
+			require.Equal(t, 2, record.(Record).DroppedAttempts)
+		}
+	}
+}
+
+// Guards against a crash of code that records outside of a query, such as a background task.
+func TestNoQueryInContext(t *testing.T) {
+	q := From(context.Background())
+	q.Attempt(Attempt{}, time.Now(), time.Now())
+	require.Empty(t, q.ID())
+}
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -25,10 +26,14 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/version"
 )
 
+// recordedQueries is the number of recent queries that can be explained. At 130 queries/s it covers 8 s.
+const recordedQueries = 1024
+
 // operatorState is what the operator listener shows of the process.
 type operatorState struct {
 	metrics     *metrics.Set
 	dumps       *statedump.Registry
+	recorder    *explain.Recorder
 	incarnation model.Incarnation
 	started     time.Time
 
@@ -41,6 +46,7 @@
 	return &operatorState{
 		metrics:     metrics.NewSet(),
 		dumps:       statedump.New(),
+		recorder:    explain.New(recordedQueries),
 		incarnation: incarnation,
 		started:     time.Now(),
 	}
@@ -117,7 +123,7 @@
 		Host:      s.settings.HostID,
 		View:      ownView{s},
 		History:   noHistory{},
-		Explainer: noExplainer{},
+		Explainer: s.operator.recorder,
 		Peers:     noPeers{},
 		Own:       s.configurationStatus,
 	})
@@ -195,10 +201,6 @@
 
 func (noHistory) Changes() []change.Accepted { return []change.Accepted{} }
 
-type noExplainer struct{}
-
-func (noExplainer) Explain(string) (any, bool) { return nil, false }
-
 type noPeers struct{}
 
 func (noPeers) Call(context.Context, string, peer.Kind, any, any) error {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics)
+	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
 	httpServer := &http.Server{
 		Handler:           api.Handler(),
 		ReadTimeout:       readTimeout,
