Accept operators' changes on the operator listener

Change: the commands use control.Acceptor, and the history is read from the head of the store. A refusal shows the faults of an invalid catalogue or its cause.

--- a/internal/cli/checkconfig.go
+++ b/internal/cli/checkconfig.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
 	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 	"github.com/knapweedrouter/knapweedrouter/internal/strictjson"
 )
@@ -92,11 +93,7 @@
 func checkCatalogue(content []byte) strictjson.Faults {
 	var catalogue model.Catalogue
 	form := strictjson.Decode(content, &catalogue)
-	var values strictjson.Faults
-	for _, v := range catalogue.Validate() {
-		values = append(values, strictjson.Fault{Path: "$." + v.Path, Value: v.Value, Allowed: v.Allowed, Remedy: v.Remedy})
-	}
-	return strictjson.Merge(form, values)
+	return strictjson.Merge(form, operatorwire.FromViolations(catalogue.Validate()))
 }
 
 // unknownDocument reports a document that is broken, or that has no field of either form.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -106,10 +106,10 @@
 		return exitError
 	}
 	switch {
-	case typed.Kind == fault.Conflict:
-		return exitConflict
 	case typed.Execution == fault.OutcomeUnknown:
 		return exitUnknown
+	case typed.Kind == fault.Conflict:
+		return exitConflict
 	case typed.Kind == fault.Unavailable, typed.Kind == fault.StoreUnavailable, typed.Kind == fault.CutOff, typed.Kind == fault.NotReady:
 		return exitUnavailable
 	default:
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -97,6 +97,10 @@
 		if isConflict {
 			reply.Conflict = conflict.Conflict
 		}
+		var invalid *operatorclient.InvalidError
+		if errors.As(err, &invalid) {
+			reply.Faults = invalid.Faults
+		}
 		if printError := printJSON(reply); printError != nil {
 			return printError
 		}
--- a/internal/cli/operator_test.go
+++ b/internal/cli/operator_test.go
@@ -26,6 +26,7 @@
 		{&flags.Error{Type: flags.ErrRequired}, exitUsage},
 		{conflict, exitConflict},
 		{&reportedError{conflict}, exitConflict},
+		{&operatorclient.ConflictError{Fault: fault.New(fault.Conflict, fault.OutcomeUnknown, "", "")}, exitUnknown},
 		{fault.New(fault.Unavailable, fault.OutcomeUnknown, "", ""), exitUnknown},
 		{fault.New(fault.Unavailable, fault.NotRun, "", ""), exitUnavailable},
 		{fault.New(fault.InsufficientCapacity, fault.NotRun, "", ""), exitError},
--- a/internal/operatorapi/command/command_test.go
+++ b/internal/operatorapi/command/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -106,3 +107,18 @@
 	status, _ = send(t, cfg, operatorwire.ChangeRequest{Change: change.Change{ID: "z"}})
 	require.Equal(t, http.StatusBadRequest, status)
 }
+
+// Guards against a refusal that does not say which edit or which value is wrong.
+func TestRefusalsNameTheCause(t *testing.T) {
+	platform := &fakePlatform{catalogue: twoCentres()}
+	violations := model.Violations{{Path: "$.callers[0].rate", Value: "0", Allowed: "more than 0", Remedy: "raise it"}}
+	for _, cause := range []error{violations, errors.New("edit 0: there is no such entry")} {
+		err := fault.Wrap(cause, fault.InvalidCatalogue, fault.NotRun, "correct it", "refused")
+		_, reply := send(t, Config{Acceptor: &fakeAcceptor{err: err}, Catalogues: platform, Statuses: platform}, outRequest(true))
+		if len(reply.Faults) == 0 {
+			require.Contains(t, reply.Error.Message, "there is no such entry")
+			continue
+		}
+		require.Equal(t, "$.callers[0].rate", reply.Faults[0].Path)
+	}
+}
--- a/internal/operatorapi/operatorwire/operatorwire.go
+++ b/internal/operatorapi/operatorwire/operatorwire.go
@@ -72,13 +72,42 @@
 
 // WriteError sends an error, with both sides of a conflict and with the faults of an invalid document.
 func WriteError(w http.ResponseWriter, err error) {
-	reply := ErrorReply{}
-	if errors.As(err, &reply.Conflict) {
-		reply.Error = fault.New(fault.Conflict, fault.NotRun,
-			"look at both sides, then send a new change based on the current generation", "%s", reply.Conflict.Error())
-	} else {
-		reply.Error = fault.As(err)
+	reply := ErrorReply{Error: typed(err), Faults: faults(err)}
+	errors.As(err, &reply.Conflict)
+	if cause := reply.Error.Unwrap(); cause != nil && reply.Conflict == nil && len(reply.Faults) == 0 {
+		withCause := *reply.Error
+		withCause.Message += ": " + cause.Error()
+		reply.Error = &withCause
 	}
-	errors.As(err, &reply.Faults)
 	Write(w, reply.Error.HTTPStatus(), reply)
 }
+
+// typed returns the typed error. A conflict that is not wrapped in one was not accepted.
+func typed(err error) *fault.Error {
+	var known *fault.Error
+	var conflict *change.Conflict
+	if !errors.As(err, &known) && errors.As(err, &conflict) {
+		return fault.New(fault.Conflict, fault.NotRun,
+			"look at both sides, then send a new change based on the current generation", "%s", conflict.Error())
+	}
+	return fault.As(err)
+}
+
+func faults(err error) strictjson.Faults {
+	var form strictjson.Faults
+	if errors.As(err, &form) {
+		return form
+	}
+	var violations model.Violations
+	errors.As(err, &violations)
+	return FromViolations(violations)
+}
+
+// FromViolations returns the violations of a catalogue in the form of faults of its document.
+func FromViolations(violations model.Violations) strictjson.Faults {
+	var result strictjson.Faults
+	for _, v := range violations {
+		result = append(result, strictjson.Fault{Path: v.Path, Value: v.Value, Allowed: v.Allowed, Remedy: v.Remedy})
+	}
+	return result
+}
--- a/internal/operatorapi/query/query.go
+++ b/internal/operatorapi/query/query.go
@@ -27,8 +27,8 @@
 
 // History returns the recent accepted changes.
 type History interface {
-	// Changes returns the accepted changes that this host still keeps, in the order of their generations.
-	Changes() []change.Accepted
+	// Changes returns the accepted changes that are still kept, in the order of their generations.
+	Changes(ctx context.Context) ([]change.Accepted, error)
 }
 
 // Explainer tells how a recent query went.
@@ -124,8 +124,13 @@
 		"list the entries of the kind", "there is no %s %q", kind, params.ByName("id")))
 }
 
-func (h *Handler) history(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	operatorwire.Write(w, http.StatusOK, operatorwire.History{Changes: h.cfg.History.Changes()})
+func (h *Handler) history(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	changes, err := h.cfg.History.Changes(r.Context())
+	if err != nil {
+		operatorwire.WriteError(w, err)
+		return
+	}
+	operatorwire.Write(w, http.StatusOK, operatorwire.History{Changes: changes})
 }
 
 func (h *Handler) hosts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/internal/operatorclient/operatorclient.go
+++ b/internal/operatorclient/operatorclient.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
+	"github.com/knapweedrouter/knapweedrouter/internal/strictjson"
 )
 
 const (
@@ -51,7 +52,7 @@
 // NewChangeID returns an id that no other change has.
 func NewChangeID() string { return strings.ToLower(rand.Text()) }
 
-// ConflictError is the refusal of a change that lost a race, with both sides.
+// ConflictError is the refusal of a change that is based on an older generation, with both sides.
 type ConflictError struct {
 	Fault    *fault.Error
 	Conflict *change.Conflict
@@ -63,6 +64,18 @@
 // Unwrap returns the typed error.
 func (c *ConflictError) Unwrap() error { return c.Fault }
 
+// InvalidError is the refusal of a document, with all of its faults.
+type InvalidError struct {
+	Fault  *fault.Error
+	Faults strictjson.Faults
+}
+
+// Error returns the message and one line for each fault.
+func (e *InvalidError) Error() string { return e.Fault.Error() + "\n" + e.Faults.Error() }
+
+// Unwrap returns the typed error.
+func (e *InvalidError) Unwrap() error { return e.Fault }
+
 // Get reads a path from the first host that can answer.
 func (c *Client) Get(ctx context.Context, path string, query url.Values, reply any) error {
 	if len(query) > 0 {
@@ -116,7 +129,8 @@
 }
 
 // isFinal tells whether the refusal decides the change's outcome. A conflict does: the change can't be accepted on top of
-// a later generation. Any other refusal does only if no other host may still be working on the change.
+// a later generation, and if it is not known whether it was accepted before, no other host knows more. Any other refusal
+// does only if no other host may still be working on the change.
 func isFinal(err error, sent bool) bool {
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
@@ -177,6 +191,9 @@
 	if reply.Conflict != nil {
 		return &ConflictError{Fault: reply.Error, Conflict: reply.Conflict}
 	}
+	if len(reply.Faults) > 0 {
+		return &InvalidError{Fault: reply.Error, Faults: reply.Faults}
+	}
 	return reply.Error
 }
 
--- a/internal/operatorclient/operatorclient_test.go
+++ b/internal/operatorclient/operatorclient_test.go
@@ -44,6 +44,9 @@
 			panic(http.ErrAbortHandler)
 		case "conflict":
 			operatorwire.WriteError(w, &change.Conflict{Current: 9, Yours: request.Change})
+		case "conflict, and the record may have aged out":
+			cause := &change.Conflict{Current: 9, Yours: request.Change}
+			operatorwire.WriteError(w, fault.Wrap(cause, fault.Conflict, fault.OutcomeUnknown, "", "old"))
 		default:
 			operatorwire.WriteError(w, fault.New(fault.Kind(behaviour), fault.NotRun, "none", "refused"))
 		}
@@ -65,6 +68,7 @@
 		{[]string{silent, silent}, fault.OutcomeUnknown, 2},
 		{[]string{silent, "insufficient_capacity"}, fault.OutcomeUnknown, 2},
 		{[]string{silent, "conflict"}, fault.NotRun, 2},
+		{[]string{"conflict, and the record may have aged out", "accept"}, fault.OutcomeUnknown, 1},
 		{[]string{"cut_off", "accept"}, "", 2},
 		{[]string{"cut_off", "cut_off"}, fault.NotRun, 2},
 		{[]string{"invalid_catalogue", "accept"}, fault.NotRun, 1},
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
@@ -115,14 +115,15 @@
 }
 
 func (s *Server) commands() operatorapi.Routes {
-	return command.New(s.logger, command.Config{Acceptor: noAcceptor{}, Catalogues: s, Statuses: s.inventory})
+	acceptor := control.Acceptor{Store: s.ports.Store}
+	return command.New(s.logger, command.Config{Acceptor: acceptor, Catalogues: s, Statuses: s.inventory})
 }
 
 func (s *Server) queries() operatorapi.Routes {
 	return query.New(query.Config{
 		Host:      s.settings.HostID,
 		View:      ownView{s},
-		History:   noHistory{},
+		History:   control.Acceptor{Store: s.ports.Store},
 		Explainer: s.operator.recorder,
 		Peers:     noPeers{},
 		Own:       s.configurationStatus,
@@ -176,13 +177,7 @@
 	})
 }
 
-// The following ports stand in until the control loop and the query engine provide them.
-
-type noAcceptor struct{}
-
-func (noAcceptor) Accept(context.Context, change.Change) (model.Generation, error) {
-	return 0, fault.New(fault.Unavailable, fault.NotRun, "write the store's head key", "this build accepts no changes")
-}
+// The following ports stand in until the control loop provides them.
 
 type ownView struct{ *Server }
 
@@ -197,10 +192,6 @@
 	}}
 }
 
-type noHistory struct{}
-
-func (noHistory) Changes() []change.Accepted { return []change.Accepted{} }
-
 type noPeers struct{}
 
 func (noPeers) Call(context.Context, string, peer.Kind, any, any) error {
