--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -58,7 +58,7 @@
 
 func (c *devCommand) logger() (*zap.Logger, error) {
 	config := zap.NewDevelopmentConfig()
-	config.Level = zap.NewAtomicLevelAt(zap.WarnLevel)
+	config.Level = zap.NewAtomicLevelAt(zap.ErrorLevel)
 	if c.Verbose {
 		config.Level = zap.NewAtomicLevelAt(zap.InfoLevel)
 	}
--- a/internal/dev/check.go
+++ b/internal/dev/check.go
@@ -51,6 +51,7 @@
 	c.step("sample searches", func() (string, error) { return c.samples(ctx) })
 	c.step("operator's change", func() (string, error) { return c.change(ctx) })
 	c.step("data centre out and back", func() (string, error) { return c.dataCentre(ctx) })
+	c.step("store outage", func() (string, error) { return c.storeOutage(ctx) })
 	if c.failed {
 		return errors.New("the check failed")
 	}
@@ -123,11 +124,7 @@
 // same change again through another host.
 func (c *checker) change(ctx context.Context) (string, error) {
 	token := operatorclient.NewChangeID()
-	entry, err := json.Marshal(TrialCaller(&c.env.Catalogue, "added", token))
-	if err != nil {
-		return "", err
-	}
-	request, err := c.request(ctx, change.Edit{Op: change.Put, Kind: change.Caller, ID: "added", Value: entry})
+	request, err := c.callerChange(ctx, "added", token)
 	if err != nil {
 		return "", err
 	}
@@ -152,6 +149,15 @@
 		reply.Generation, len(c.env.Hosts), spread.Milliseconds()), nil
 }
 
+// callerChange returns a change that adds a caller.
+func (c *checker) callerChange(ctx context.Context, id, token string) (operatorwire.ChangeRequest, error) {
+	entry, err := json.Marshal(TrialCaller(&c.env.Catalogue, model.CallerID(id), token))
+	if err != nil {
+		return operatorwire.ChangeRequest{}, err
+	}
+	return c.request(ctx, change.Edit{Op: change.Put, Kind: change.Caller, ID: id, Value: entry})
+}
+
 // request returns a change that is based on the newest generation that the first host knows.
 func (c *checker) request(ctx context.Context, edits ...change.Edit) (operatorwire.ChangeRequest, error) {
 	catalogue, err := c.env.Operators(0).Catalogue(ctx)
