Divide limits among hosts as shares and loans

A caller's rate, cost and in-flight limit and a cold target's allowance hold over all hosts, but no host may be asked for every request. Owner hosts (rendezvous hashing over the fleet table) hold parts of each grant and lend them for short terms; internal/share is the state machine of one host.

Decisions: - A newer loan to the same borrower replaces older ones, so an owner counts the greatest of them and a renewal leaves no gap. A request names the oldest loan still in use; the owner forgets older ones before they end. - A loan counts at the owner for term + term/8 + 0.5 s instead of term + 0.5 s: with a term of 10 s a clock that is 10 % slower uses it for 11 s. In-flight shares therefore wait 15.9 s after a restart or a new table, other shares 6 s. - A share is the smallest part in all tables held within that wait. A host that skipped a table waits as if restarted. - Tokens accrue piecewise at each end of a loan. A bucket never holds more than 0.1 s of its rate. A request above the bucket's size needs a full bucket and leaves a debt; otherwise a grant under 10/s could never be used on 12 hosts. The stated burst is 0.1 s of the grant plus one request per host.

Ruled out: adding up all loans of a borrower (renewals would need twice the amount), and asking every owner for the whole need (borrowers would keep what they don't use).

One host of twelve takes at least 90 % of a grant of 600/s and of 60 units from 0.5 s after its first request on.

--- /dev/null
+++ b/internal/share/loan_test.go
@@ -0,0 +1,184 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const started = 20 * time.Second
+
+// fleetOf returns hosts that have held the first table for longer than every takeover wait.
+func fleetOf(count int, grants map[Key]float64) []*State {
+	table := Table{Generation: 1}
+	for i := range count {
+		table.Hosts = append(table.Hosts, TableHost{ID: hostID(i)})
+	}
+	var states []*State
+	for i := range count {
+		state := New(Config{Self: hostID(i)})
+		state.SetTable(0, table)
+		for key, grant := range grants {
+			state.SetGrant(0, key, grant)
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+// exchange carries the messages of one tick of a host, and the answers, without delay.
+func exchange(states []*State, from int, now time.Duration) {
+	for _, send := range states[from].Tick(now) {
+		for to, state := range states {
+			if send.To != hostID(to) {
+				continue
+			}
+			for _, answer := range state.Step(now, Sender{Host: hostID(from)}, send.Message) {
+				states[from].Step(now, Sender{Host: send.To}, answer.Message)
+			}
+		}
+	}
+}
+
+// TestOneHostGetsNinetyPercent guards against a caller that lands on one host of twelve being held to a twelfth of its
+// grant. It has 90 % of it 0.5 s after its first request, also with one owner dead (then of the other eleven shares).
+func TestOneHostGetsNinetyPercent(t *testing.T) {
+	for _, dead := range []int{0, 1} {
+		states := fleetOf(12, map[Key]float64{rateKey: 600, unitKey: 60})
+		live := states[:12-dead]
+		taken, most := 0.0, 0
+		var units []Unit
+		for now := started; now < started+2500*time.Millisecond; now += 5 * time.Millisecond {
+			for range 5 {
+				if states[0].Take(now, rateKey, 1) && now >= started+500*time.Millisecond {
+					taken++
+				}
+			}
+			if unit, ok := states[0].Acquire(now, unitKey, now+400*time.Millisecond); ok {
+				units = append(units, unit)
+			}
+			if len(units) > 70 || now%(300*time.Millisecond) == 0 {
+				most = max(most, len(units))
+				for _, unit := range units {
+					states[0].Release(now, unit)
+				}
+				units = nil
+			}
+			if now%(50*time.Millisecond) == 0 {
+				exchange(live, 0, now)
+			}
+		}
+		part := float64(12-dead) / 12
+		require.GreaterOrEqual(t, taken, 0.9*600*2*part)
+		require.GreaterOrEqual(t, most, int(0.9*60*part))
+	}
+}
+
+// TestDemandDividesTheGrant guards against the first borrower keeping the grant from hosts that need it later.
+func TestDemandDividesTheGrant(t *testing.T) {
+	states := fleetOf(4, map[Key]float64{rateKey: 400})
+	taken := make([]float64, 4)
+	for now := started; now < started+8*time.Second; now += 10 * time.Millisecond {
+		for host := range 2 {
+			if host == 1 && now < started+2*time.Second {
+				continue
+			}
+			for range 4 {
+				if states[host].Take(now, rateKey, 1) && now >= started+5*time.Second {
+					taken[host]++
+				}
+			}
+		}
+		for host := range states {
+			if now%(50*time.Millisecond) == 0 {
+				exchange(states, host, now)
+			}
+		}
+	}
+	require.InDelta(t, 600, taken[0], 90)
+	require.InDelta(t, 600, taken[1], 90)
+}
+
+// askOwner makes host 0 ask host 1 for a part of the rate and returns the request.
+func askOwner(t *testing.T, states []*State, now time.Duration) LoanRequest {
+	for range 200 {
+		states[0].Take(now, rateKey, 1)
+	}
+	sends := states[0].Tick(now)
+	require.Len(t, sends, 1)
+	return sends[0].Message.(LoanRequest)
+}
+
+// TestLateGrantEndsWithItsRequest guards against a delayed grant being used after the owner has taken the amount back.
+func TestLateGrantEndsWithItsRequest(t *testing.T) {
+	states := fleetOf(2, map[Key]float64{rateKey: 200})
+	request := askOwner(t, states, started)
+	grant := states[1].Step(started, Sender{Host: hostID(0)}, request)[0].Message
+	late := started + RateTerm - time.Millisecond
+	states[0].Step(late, Sender{Host: hostID(1)}, grant)
+	require.Greater(t, states[0].Usable(late, rateKey), 190.0)
+	require.InDelta(t, 100, states[0].Usable(started+RateTerm, rateKey), 1e-9)
+}
+
+// TestOlderGrantDoesNotReplaceNewer guards against a reordered grant whose loan the owner has already forgotten.
+func TestOlderGrantDoesNotReplaceNewer(t *testing.T) {
+	states := fleetOf(2, map[Key]float64{rateKey: 200})
+	first := askOwner(t, states, started)
+	later := started + 600*time.Millisecond
+	second := askOwner(t, states, later)
+	owner, borrower := Sender{Host: hostID(1)}, Sender{Host: hostID(0)}
+	oldGrant := states[1].Step(later, borrower, first)[0].Message
+	second.Amount = 10
+	newGrant := states[1].Step(later, borrower, second)[0].Message
+	states[0].Step(later, owner, newGrant)
+	states[0].Step(later, owner, oldGrant)
+	require.InDelta(t, 110, states[0].Usable(later, rateKey), 1e-9)
+}
+
+// TestReturnedLoanIsNotAccepted guards against a grant that arrives after its loan was given back.
+func TestReturnedLoanIsNotAccepted(t *testing.T) {
+	states := fleetOf(2, map[Key]float64{rateKey: 200})
+	request := askOwner(t, states, started)
+	grant := states[1].Step(started, Sender{Host: hostID(0)}, request)[0].Message
+	idle := started + 1400*time.Millisecond
+	sends := states[0].Tick(idle)
+	require.Len(t, sends, 1)
+	require.IsType(t, LoanReturn{}, sends[0].Message)
+	states[0].Step(idle, Sender{Host: hostID(1)}, grant)
+	require.InDelta(t, 100, states[0].Usable(idle, rateKey), 1e-9)
+}
+
+// TestSkippedTableStopsTheShare guards against a host that did not see a table in which its share had another owner.
+func TestSkippedTableStopsTheShare(t *testing.T) {
+	states := fleetOf(2, map[Key]float64{rateKey: 200})
+	hosts := []TableHost{{ID: hostID(0)}, {ID: hostID(1)}}
+	states[0].SetTable(started, Table{Generation: 3, Hosts: hosts})
+	states[1].SetTable(started, Table{Generation: 2, Hosts: hosts})
+	require.Zero(t, states[0].Usable(started, rateKey))
+	require.Zero(t, states[0].Usable(started+5900*time.Millisecond, rateKey))
+	require.InDelta(t, 100, states[0].Usable(started+6*time.Second, rateKey), 1e-9)
+	require.InDelta(t, 100, states[1].Usable(started, rateKey), 1e-9)
+}
+
+// TestLongWorkKeepsItsLoan guards against the owner forgetting a long loan while work started under it still runs.
+func TestLongWorkKeepsItsLoan(t *testing.T) {
+	states := fleetOf(2, map[Key]float64{unitKey: 4})
+	now := started
+	held := 0
+	for ; now < started+time.Second; now += 100 * time.Millisecond {
+		if _, ok := states[0].Acquire(now, unitKey, now+9*time.Second); ok {
+			held++
+		}
+		exchange(states, 0, now)
+	}
+	require.Equal(t, 4, held)
+	for _, e := range states[0].entries {
+		e.term = 0 // the following requests ask for a short term
+	}
+	for ; now < started+8*time.Second; now += 100 * time.Millisecond {
+		exchange(states, 0, now)
+		_, ok := states[1].Acquire(now, unitKey, now+50*time.Millisecond)
+		require.False(t, ok)
+	}
+}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,414 @@
+// Package share holds callers and cold targets to their limits over all hosts without a central counter. The grant of a
+// key is divided among owner hosts, and owners lend parts of their shares to other hosts for short terms. It is a pure
+// state machine; one State runs on each host, and the caller carries its messages.
+//
+// A loan ends at the borrower before it ends at the owner, measured from the sending of the request, and a host uses
+// what a new table gives it only after every other host has stopped using it. So the usable amounts of all hosts never
+// add up to more than the grant, whatever messages are lost, late, repeated or out of order, for clocks whose rates
+// differ by up to 10 %. A rate is per second of the fastest clock.
+package share
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+const (
+	// fenceTime is the age of the configuration at which a host refuses new work and stops lending.
+	fenceTime = 3 * time.Second
+	// takeoverMargin covers clocks of different rates.
+	takeoverMargin = time.Second
+	// MaxKeys bounds the limits that one host keeps.
+	MaxKeys = 10_000
+)
+
+// takeoverWait is the time for which a new or restarted owner leaves its share unused: until every earlier owner has
+// seen the new table or is fenced, and the loans that it gave have ended.
+func (k Key) takeoverWait() time.Duration {
+	if k.Kind == InFlight {
+		return fenceTime + lenderTerm(LongestTerm) + takeoverMargin
+	}
+	return fenceTime + 2*time.Second + takeoverMargin
+}
+
+// Config names the host.
+type Config struct {
+	Self model.HostID
+}
+
+// State is the state machine of one host. It is not safe for concurrent use.
+type State struct {
+	cfg     Config
+	fenced  bool
+	tables  []heldTable
+	entries map[Key]*entry
+	nonce   uint64
+}
+
+// entry is the state of one key.
+type entry struct {
+	key   Key
+	grant float64
+	// shares holds this host's part of the grant by table generation.
+	shares map[uint64]float64
+	// portions holds the parts of the owners in the newest table, for the generation and grant below.
+	portions      map[model.HostID]float64
+	portionsOf    uint64
+	portionsGrant float64
+
+	bucket   bucket
+	demand   demand
+	ownInUse int
+	accounts map[Sender]*account
+	debts    map[model.HostID]*debt
+	term     time.Duration
+	termAt   time.Duration
+}
+
+// New returns a host without table and grants. It owns nothing until it has held a table for the takeover wait.
+func New(cfg Config) *State {
+	// The first entry stands for the tables that this host did not see.
+	unknown := heldTable{replacedAt: never}
+	return &State{cfg: cfg, tables: []heldTable{unknown}, entries: map[Key]*entry{}}
+}
+
+// SetFenced says whether this host may be cut off from newer tables. A fenced host uses no share and lends nothing.
+func (s *State) SetFenced(now time.Duration, fenced bool) {
+	if fenced == s.fenced {
+		return
+	}
+	s.advanceAll(now)
+	s.fenced = fenced
+	for _, e := range s.entries {
+		s.refreshRate(e, now)
+	}
+}
+
+// Generation returns the generation of the newest table.
+func (s *State) Generation() uint64 { return s.tables[len(s.tables)-1].generation }
+
+// SetTable replaces the table. Older tables are ignored.
+func (s *State) SetTable(now time.Duration, table Table) {
+	if table.Generation <= s.Generation() {
+		return
+	}
+	s.advanceAll(now)
+	last := &s.tables[len(s.tables)-1]
+	last.replacedAt = now
+	if table.Generation != last.generation+1 {
+		// A skipped table may have given this host's share to another one.
+		s.tables = append(s.tables, heldTable{generation: last.generation, replacedAt: now})
+	}
+	s.tables = append(s.tables, hold(table))
+	for _, e := range s.entries {
+		s.refreshRate(e, now)
+	}
+}
+
+// SetGrant sets the fleet-wide amount of a key: a rate per second or a number of units. 0 removes the key.
+func (s *State) SetGrant(now time.Duration, key Key, amount float64) {
+	e := s.entries[key]
+	if e == nil {
+		if amount <= 0 || len(s.entries) >= MaxKeys {
+			return
+		}
+		e = &entry{key: key, accounts: map[Sender]*account{}, debts: map[model.HostID]*debt{}}
+		e.bucket.at = now
+		e.demand.advance(now)
+		s.entries[key] = e
+	}
+	if e.grant == amount {
+		return
+	}
+	s.advance(e, now)
+	e.grant = max(0, amount)
+	clear(e.shares)
+	s.refreshRate(e, now)
+	if amount <= 0 && e.idle() {
+		delete(s.entries, key)
+	}
+}
+
+// idle tells whether nothing depends on the entry any more.
+func (e *entry) idle() bool {
+	return e.ownInUse == 0 && len(e.accounts) == 0 && e.borrowed() == 0 && !e.busy()
+}
+
+func (e *entry) busy() bool {
+	for _, d := range e.debts {
+		if d.inUse > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Step handles a message of another host and returns the answers.
+func (s *State) Step(now time.Duration, from Sender, message Message) []Send {
+	if e := s.entries[message.key()]; e != nil {
+		s.advance(e, now)
+	}
+	switch m := message.(type) {
+	case LoanRequest:
+		return s.lend(now, from, m)
+	case LoanGrant:
+		s.accept(now, from, m)
+	case LoanReturn:
+		s.takeBack(now, from, m)
+	}
+	return nil
+}
+
+// Tick ends loans and returns the requests and returns that are due. It is called about every 50 ms.
+func (s *State) Tick(now time.Duration) []Send {
+	s.forgetTables(now)
+	var sends []Send
+	for _, key := range s.sortedKeys() {
+		e := s.entries[key]
+		s.advance(e, now)
+		e.expirePending(now)
+		if e.grant <= 0 {
+			sends = append(sends, s.giveBack(e, now)...)
+			if e.idle() {
+				delete(s.entries, key)
+			}
+			continue
+		}
+		sends = append(sends, s.borrow(e, now)...)
+	}
+	return sends
+}
+
+// Take takes tokens of a rate. It returns false when there are too few.
+func (s *State) Take(now time.Duration, key Key, amount float64) bool {
+	e := s.entries[key]
+	if e == nil {
+		return false
+	}
+	s.advance(e, now)
+	e.demand.add(now, amount)
+	return e.bucket.take(amount)
+}
+
+// Untake gives back tokens that were taken at the same moment.
+func (s *State) Untake(key Key, amount float64) {
+	if e := s.entries[key]; e != nil {
+		e.bucket.level = min(e.bucket.burst(), e.bucket.level+amount)
+	}
+}
+
+// Unit is one unit in use.
+type Unit struct {
+	key   Key
+	owner model.HostID
+}
+
+// Acquire takes one unit for work that ends at the deadline, a time of this host's clock. The work must have ended by
+// then, also if Release is called later. A deadline beyond the longest term of the key is refused.
+func (s *State) Acquire(now time.Duration, key Key, deadline time.Duration) (Unit, bool) {
+	e := s.entries[key]
+	if e == nil || deadline-now > e.key.longestDeadline() {
+		return Unit{}, false
+	}
+	s.advance(e, now)
+	e.demand.peak(now, e.inUse()+1)
+	e.noteTerm(now, deadline-now+renewInterval+250*time.Millisecond)
+	if !s.fenced && float64(e.ownInUse)+1 <= s.effective(e, now)-e.lent() {
+		e.ownInUse++
+		return Unit{key, s.cfg.Self}, true
+	}
+	for _, owner := range slices.Sorted(maps.Keys(e.debts)) {
+		d := e.debts[owner]
+		if float64(d.inUse)+1 <= d.amount && deadline <= d.expires {
+			d.inUse++
+			d.busyUntil = max(d.busyUntil, deadline)
+			return Unit{key, owner}, true
+		}
+	}
+	return Unit{}, false
+}
+
+// Release gives a unit back.
+func (s *State) Release(now time.Duration, unit Unit) {
+	e := s.entries[unit.key]
+	if e == nil {
+		return
+	}
+	s.advance(e, now)
+	if unit.owner == s.cfg.Self {
+		e.ownInUse--
+		return
+	}
+	d := e.debts[unit.owner]
+	d.inUse--
+	if d.inUse == 0 {
+		d.busyUntil = 0
+	}
+	d.settle()
+}
+
+// Usable returns the rate per second, or the number of units, that this host may use at the moment.
+func (s *State) Usable(now time.Duration, key Key) float64 {
+	e := s.entries[key]
+	if e == nil {
+		return 0
+	}
+	s.advance(e, now)
+	return s.usable(e, now)
+}
+
+func (s *State) usable(e *entry, now time.Duration) float64 {
+	own := 0.0
+	if !s.fenced {
+		own = max(0, s.effective(e, now)-e.lent())
+	}
+	return own + e.borrowed()
+}
+
+// inUse returns the number of units in use at this host.
+func (e *entry) inUse() float64 {
+	sum := e.ownInUse
+	for _, d := range e.debts {
+		sum += d.inUse
+	}
+	return float64(sum)
+}
+
+// wanted returns the rate or the number of units that the host's recent demand needs.
+func (e *entry) wanted(now time.Duration) float64 {
+	if e.key.Kind.isUnits() {
+		return max(e.demand.units(now), e.inUse())
+	}
+	return e.demand.perSecond(now)
+}
+
+// noteTerm keeps the longest term that was needed in the last ten seconds or so.
+func (e *entry) noteTerm(now, term time.Duration) {
+	if term > e.term || now-e.termAt > model.MaxDeadline {
+		e.term = term
+		e.termAt = now
+	}
+}
+
+// effective returns the part of the grant that this host owns: the smallest of its parts in the tables that it held
+// within the takeover wait. Another host may still use the rest.
+func (s *State) effective(e *entry, now time.Duration) float64 {
+	lowest := math.Inf(1)
+	for _, table := range s.tables {
+		if table.replacedAt == never || table.replacedAt+e.key.takeoverWait() > now {
+			lowest = min(lowest, s.part(e, table))
+		}
+	}
+	return lowest
+}
+
+func (s *State) part(e *entry, table heldTable) float64 {
+	if len(table.hosts) == 0 {
+		return 0
+	}
+	if part, ok := e.shares[table.generation]; ok {
+		return part
+	}
+	owners := table.owners(e.key)
+	part := portion(e.key.Kind, e.grant, slices.Index(owners, s.cfg.Self), len(owners))
+	if e.shares == nil {
+		e.shares = map[uint64]float64{}
+	}
+	e.shares[table.generation] = part
+	return part
+}
+
+// lenders returns the other owners of the key in the newest table and notes their parts.
+func (s *State) lenders(e *entry) []model.HostID {
+	newest := s.tables[len(s.tables)-1]
+	if e.portions == nil || e.portionsOf != newest.generation || e.portionsGrant != e.grant {
+		e.portions = map[model.HostID]float64{}
+		e.portionsOf = newest.generation
+		e.portionsGrant = e.grant
+		owners := newest.owners(e.key)
+		for position, owner := range owners {
+			if part := portion(e.key.Kind, e.grant, position, len(owners)); owner != s.cfg.Self && part > 0 {
+				e.portions[owner] = part
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(e.portions))
+}
+
+// advance carries the entry to now, past each end of a loan and each gain of a share in order, so that every token is
+// counted at the rate that was in force when it accrued.
+func (s *State) advance(e *entry, now time.Duration) {
+	for next := s.nextChange(e); next <= now; next = s.nextChange(e) {
+		e.bucket.advance(next)
+		e.expireBorrowed(next)
+		e.expireLent(next)
+		e.bucket.setRate(s.bucketRate(e, next))
+		e.bucket.at = max(e.bucket.at, next)
+	}
+	e.bucket.advance(now)
+	e.expireLent(now)
+}
+
+func (s *State) advanceAll(now time.Duration) {
+	for _, e := range s.entries {
+		s.advance(e, now)
+	}
+}
+
+// nextChange returns the earliest change of the usable amount after the bucket's time.
+func (s *State) nextChange(e *entry) time.Duration {
+	next := min(e.nextBorrowedExpiry(), e.nextLentExpiry())
+	for _, table := range s.tables {
+		if table.replacedAt == never {
+			continue
+		}
+		if gain := table.replacedAt + e.key.takeoverWait(); gain > e.bucket.at {
+			next = min(next, gain)
+		}
+	}
+	return next
+}
+
+func (s *State) bucketRate(e *entry, now time.Duration) float64 {
+	if e.key.Kind.isUnits() {
+		return 0
+	}
+	return s.usable(e, now)
+}
+
+// refreshRate applies a change of the usable amount at now.
+func (s *State) refreshRate(e *entry, now time.Duration) {
+	e.bucket.advance(now)
+	e.bucket.setRate(s.bucketRate(e, now))
+}
+
+// forgetTables drops replaced tables that have no effect any more.
+func (s *State) forgetTables(now time.Duration) {
+	longest := Key{Kind: InFlight}.takeoverWait()
+	kept := s.tables[:0]
+	for _, table := range s.tables {
+		if table.replacedAt == never || table.replacedAt+longest > now {
+			kept = append(kept, table)
+			continue
+		}
+		for _, e := range s.entries {
+			delete(e.shares, table.generation)
+		}
+	}
+	s.tables = kept
+}
+
+func (s *State) sortedKeys() []Key {
+	return slices.SortedFunc(maps.Keys(s.entries), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+func sortSends(sends []Send) {
+	slices.SortFunc(sends, func(a, b Send) int { return cmp.Compare(a.To, b.To) })
+}
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,365 @@
+package share
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+var (
+	rateKey = Key{Rate, "depot"}
+	unitKey = Key{InFlight, "depot"}
+	coldKey = Key{Cold, "parts-g00-0"}
+	grants  = map[Key]float64{rateKey: 2400, unitKey: 14, coldKey: 3}
+)
+
+// The schedules are the same in every run. Fifty keep the test under four seconds with the race detector.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "50")
+}
+
+// chunk is the number of tokens that a request takes.
+const chunk = 6
+
+type action int
+
+const (
+	serve action = iota
+	pause
+	restart
+	cutOff
+	dropOwner
+	addOwner
+	delayFrames
+	changeDemand
+	actions
+)
+
+// event is one step of a schedule. Most events serve requests at a host.
+type event struct {
+	host    int
+	do      action
+	advance time.Duration
+	// lasts is the duration of a pause or of being cut off.
+	lasts    time.Duration
+	delay    time.Duration
+	lost     bool
+	repeated bool
+	takes    int
+	deadline time.Duration
+	release  bool
+}
+
+func schedules(hosts int) *rapid.Generator[[]event] {
+	millis := func(t *rapid.T, name string, choices ...int) time.Duration {
+		return time.Duration(choices[rapid.IntRange(0, len(choices)-1).Draw(t, name)]) * time.Millisecond
+	}
+	one := rapid.Custom(func(t *rapid.T) event {
+		e := event{host: rapid.IntRange(0, hosts-1).Draw(t, "host")}
+		e.advance = millis(t, "advance", 0, 5, 20, 50, 100, 400)
+		if rapid.IntRange(0, 19).Draw(t, "unusual") == 0 {
+			e.do = action(rapid.IntRange(0, int(actions)-1).Draw(t, "do"))
+			e.lasts = millis(t, "lasts", 500, 2500, 8000)
+			e.delay = millis(t, "delay", 0, 1, 20, 200, 700, 1400, 3000)
+			e.takes = []int{0, 12, 60, 600}[rapid.IntRange(0, 3).Draw(t, "takes")]
+		}
+		chance := rapid.IntRange(0, 35).Draw(t, "chance")
+		e.lost = chance%6 == 0
+		e.repeated = chance/6 == 0
+		e.release = chance%2 == 1
+		e.deadline = millis(t, "deadline", 50, 1200, 9000)
+		return e
+	})
+	return rapid.SliceOfN(one, 400, 400)
+}
+
+type frame struct {
+	at   time.Duration
+	from Sender
+	to   int
+	body Message
+}
+
+type work struct {
+	host  int
+	unit  Unit
+	ends  time.Duration
+	state *State
+}
+
+type simHost struct {
+	state       *State
+	incarnation model.Incarnation
+	rate        float64
+	pausedUntil time.Duration
+	cutUntil    time.Duration
+	takes       int
+	confirmedAt time.Duration
+	wholeGrant  *bucket
+}
+
+// sim runs a schedule in true time. Clocks run at 1/1.1 to 1 of it.
+type sim struct {
+	hosts  []*simHost
+	naive  bool
+	now    time.Duration
+	table  Table
+	frames []frame
+	works  map[Key][]work
+	delay  time.Duration
+	level  float64
+	last   time.Duration
+}
+
+func newSim(hosts int, naive bool) *sim {
+	s := &sim{naive: naive, works: map[Key][]work{}, table: Table{Generation: 1}}
+	for i := range hosts {
+		h := &simHost{rate: 1 - float64(i)/float64(hosts-1)*(1-1/1.1), takes: 60 * i, wholeGrant: &bucket{rate: grants[rateKey]}}
+		s.hosts = append(s.hosts, h)
+		s.table.Hosts = append(s.table.Hosts, TableHost{ID: hostID(i)})
+		s.start(i)
+	}
+	return s
+}
+
+func hostID(i int) model.HostID { return model.HostID(fmt.Sprintf("h%02d", i)) }
+
+func (s *sim) start(i int) {
+	h := s.hosts[i]
+	h.incarnation++
+	h.state = New(Config{Self: hostID(i)})
+	for key, grant := range grants {
+		h.state.SetGrant(s.clock(i), key, grant)
+	}
+}
+
+func (s *sim) clock(i int) time.Duration {
+	return time.Hour*time.Duration(i) + time.Duration(float64(s.now)*s.hosts[i].rate)
+}
+
+func (s *sim) isPaused(i int) bool { return s.hosts[i].pausedUntil > s.now }
+
+func (s *sim) isCut(i int) bool { return s.hosts[i].cutUntil > s.now }
+
+// refresh does what a host does before every operation.
+func (s *sim) refresh(i int) {
+	h := s.hosts[i]
+	h.state.SetFenced(s.clock(i), s.clock(i)-h.confirmedAt > fenceTime)
+}
+
+// pull confirms the configuration, which is at most one event old.
+func (s *sim) pull(i int) {
+	if h := s.hosts[i]; !s.isCut(i) {
+		h.confirmedAt = s.clock(i)
+		h.state.SetTable(s.clock(i), Table{s.table.Generation, append([]TableHost(nil), s.table.Hosts...)})
+	}
+}
+
+func (s *sim) run(events []event) error {
+	for _, e := range events {
+		s.now += e.advance
+		s.deliver(e)
+		s.disturb(e)
+		for i, h := range s.hosts {
+			if !s.isPaused(i) {
+				s.pull(i)
+				s.refresh(i)
+				s.send(i, h.state.Tick(s.clock(i)), e)
+			}
+		}
+		if !s.isPaused(e.host) {
+			s.load(e)
+		}
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *sim) disturb(e event) {
+	h := s.hosts[e.host]
+	switch e.do {
+	case pause:
+		h.pausedUntil = s.now + e.lasts
+	case restart:
+		s.start(e.host)
+		h.pausedUntil = 0
+	case cutOff:
+		h.cutUntil = s.now + e.lasts
+	case dropOwner, addOwner:
+		s.change(e.host, e.do == addOwner)
+	case delayFrames:
+		s.delay = e.delay
+	case changeDemand:
+		h.takes = e.takes
+	}
+}
+
+func (s *sim) change(i int, add bool) {
+	var hosts []TableHost
+	for _, h := range s.table.Hosts {
+		if h.ID != hostID(i) {
+			hosts = append(hosts, h)
+		}
+	}
+	if add {
+		hosts = append(hosts, TableHost{ID: hostID(i)})
+	}
+	s.table = Table{s.table.Generation + 1, hosts}
+}
+
+func (s *sim) send(i int, sends []Send, e event) {
+	for n, send := range sends {
+		var to int
+		fmt.Sscanf(string(send.To), "h%d", &to)
+		if e.lost && n%2 == 0 || s.isCut(i) || s.isCut(to) {
+			continue
+		}
+		f := frame{s.now + s.delay*time.Duration(1+n%2)/2, Sender{hostID(i), s.hosts[i].incarnation}, to, send.Message}
+		s.frames = append(s.frames, f)
+		if e.repeated {
+			f.at += s.delay
+			s.frames = append(s.frames, f)
+		}
+	}
+}
+
+// deliver hands over the frames that are due, the newest first.
+func (s *sim) deliver(e event) {
+	due := s.frames
+	s.frames = nil
+	for n := len(due) - 1; n >= 0; n-- {
+		f := due[n]
+		if f.at > s.now || s.isPaused(f.to) {
+			s.frames = append(s.frames, f)
+			continue
+		}
+		s.refresh(f.to)
+		s.send(f.to, s.hosts[f.to].state.Step(s.clock(f.to), f.from, f.body), e)
+	}
+}
+
+func (s *sim) load(e event) {
+	h, now := s.hosts[e.host], s.clock(e.host)
+	h.wholeGrant.advance(now)
+	for range h.takes / chunk {
+		if s.naive && h.wholeGrant.take(chunk) || !s.naive && h.state.Take(now, rateKey, chunk) {
+			s.level = max(0, s.level-grants[rateKey]*(s.now-s.last).Seconds()) + chunk
+			s.last = s.now
+		}
+	}
+	for _, key := range []Key{unitKey, coldKey} {
+		for range min(8, h.takes) {
+			s.acquire(e, key)
+		}
+		if e.release {
+			s.release(e.host, key)
+		}
+	}
+}
+
+func (s *sim) acquire(e event, key Key) {
+	h, now := s.hosts[e.host], s.clock(e.host)
+	var unit Unit
+	ok := s.count(e.host, key) < int(grants[key])
+	if !s.naive {
+		unit, ok = h.state.Acquire(now, key, now+e.deadline)
+	}
+	if ok {
+		ends := s.now + time.Duration(float64(e.deadline)/h.rate)
+		s.works[key] = append(s.works[key], work{e.host, unit, ends, h.state})
+	}
+}
+
+func (s *sim) release(host int, key Key) {
+	var kept []work
+	for n, w := range s.works[key] {
+		if w.host != host || w.state != s.hosts[host].state || n%2 == 0 {
+			kept = append(kept, w)
+		} else if w.unit.owner != "" {
+			w.state.Release(s.clock(host), w.unit)
+		}
+	}
+	s.works[key] = kept
+}
+
+func (s *sim) count(host int, key Key) int {
+	count := 0
+	for _, w := range s.works[key] {
+		if host < 0 || w.host == host {
+			count++
+		}
+	}
+	return count
+}
+
+// check ends the work whose deadline has passed, also that of dead hosts, and compares the sums with the grants.
+func (s *sim) check() error {
+	for key, works := range s.works {
+		var running []work
+		for _, w := range works {
+			if w.ends > s.now {
+				running = append(running, w)
+			} else if w.unit.owner != "" && w.state == s.hosts[w.host].state {
+				w.state.Release(s.clock(w.host), w.unit)
+			}
+		}
+		s.works[key] = running
+		if count := s.count(-1, key); count > int(grants[key]) {
+			return fmt.Errorf("at %v %d units of %v are in use", s.now, count, key)
+		}
+	}
+	if burst := grants[rateKey]*burstTime.Seconds() + chunk*float64(len(s.hosts)); s.level > burst+1e-6 {
+		return fmt.Errorf("at %v a window holds %.1f tokens more than the rate allows; burst %.1f", s.now, s.level, burst)
+	}
+	sum := 0.0
+	for i, h := range s.hosts {
+		if !s.isPaused(i) && !s.naive {
+			s.refresh(i)
+			sum += h.state.Usable(s.clock(i), rateKey)
+		}
+	}
+	if sum > grants[rateKey]+1e-6 {
+		return fmt.Errorf("at %v the usable rates add up to %.2f", s.now, sum)
+	}
+	return nil
+}
+
+// TestNeverMoreThanGrant guards against callers and cold targets getting more than their grant through lost, late,
+// repeated or reordered messages, pauses, restarts, cut-off hosts, table changes or clocks that differ by 10 %.
+func TestNeverMoreThanGrant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 5).Draw(t, "hosts")
+		require.NoError(t, newSim(hosts, false).run(schedules(hosts).Draw(t, "events")))
+	})
+}
+
+// TestTermsCoverSlowClocks guards against an owner lending an amount again while a borrower, or the former owner, whose
+// clock is 10 % slower still uses it.
+func TestTermsCoverSlowClocks(t *testing.T) {
+	for term := RateTerm; term <= LongestTerm; term += 100 * time.Millisecond {
+		require.Greater(t, lenderTerm(term), term+term/10+300*time.Millisecond)
+	}
+	for _, key := range []Key{rateKey, unitKey, coldKey} {
+		require.Greater(t, key.takeoverWait(), (fenceTime+key.longestTerm())*11/10)
+	}
+}
+
+// TestWholeGrantAtEachHostFails shows that the property above catches the naive limiter.
+func TestWholeGrantAtEachHostFails(t *testing.T) {
+	failed := 0
+	for seed := range 10 {
+		if newSim(3, true).run(schedules(3).Example(seed)) != nil {
+			failed++
+		}
+	}
+	require.Equal(t, 10, failed)
+}
