Keep the phase of each target and ramp cold targets with shared permits

Decisions: - Statements are ordered by (incarnation, epoch); of two statements of one order cold counts. - Signs: each reset, each third shed in a row, each fourth success in a row slower than four times the median. Two within 1 s make a target cold, a new incarnation and status cold at once. Single slow replies prove nothing: one in sixteen of an exponential distribution is slower than four times the median. - A target that became cold gets nothing for 2.5 s: 1 s until all hosts know, 1.5 s (the longest term of a permit) until attempts sent before have ended. The owner's allowance and each host's use of permits both wait, because a permit may stem from an earlier phase. Attempts without permits whose deadline is over 1.5 s can outlast it. - Hosts report cumulative counts, so lost, repeated and reordered reports don't change the ramp.

Ruled out: a ramp per host, and dropping at the first sign.

--- /dev/null
+++ b/internal/coldstart/phase_test.go
@@ -0,0 +1,124 @@
+package coldstart
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// warmState returns the state of a lone host that knows a warm target.
+func warmState() *State {
+	state := New()
+	state.SetTargets(0, []Target{coldTarget})
+	state.Apply(0, Statement{Target: "t1", Incarnation: 1, Epoch: 2, Warm: true})
+	return state
+}
+
+func observe(s *State, now time.Duration, kind ObservationKind, latency time.Duration) bool {
+	_, ok := s.Observe(now, Observation{"t1", 1, kind, latency})
+	return ok
+}
+
+// TestSingleSignsDoNotFlap guards against a target that turns cold and warm under alternating evidence: signs that are
+// more than a second apart, with successes between them, change nothing.
+func TestSingleSignsDoNotFlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, now := warmState(), time.Second
+		for range rapid.IntRange(5, 40).Draw(t, "signs") {
+			kind := []ObservationKind{Reset, Shed}[rapid.IntRange(0, 1).Draw(t, "kind")]
+			repeats := map[ObservationKind]int{Reset: 1, Shed: shedRun}[kind]
+			for range repeats {
+				require.False(t, observe(state, now, kind, 0))
+			}
+			now += signsWithin + time.Duration(rapid.IntRange(1, 500).Draw(t, "gap"))*time.Millisecond
+			require.False(t, observe(state, now, Succeeded, 10*time.Millisecond))
+		}
+		require.True(t, state.IsWarm("t1"))
+	})
+}
+
+// TestChangesAreFewUnderAnyEvidence guards against notices in quick succession: a target that turned cold stays so for
+// the settle time at least, whatever is seen.
+func TestChangesAreFewUnderAnyEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, now, drops := warmState(), time.Duration(0), 0
+		for range 400 {
+			now += time.Duration(rapid.IntRange(1, 40).Draw(t, "advance")) * time.Millisecond
+			kind := []ObservationKind{Succeeded, Succeeded, Reset, Shed}[rapid.IntRange(0, 3).Draw(t, "kind")]
+			if observe(state, now, kind, 5*time.Millisecond) {
+				drops++
+			}
+			if progress, ok := state.Report(now, "t1"); ok {
+				state.Progress(now, "h0", progress)
+			}
+		}
+		require.LessOrEqual(t, drops, 1+int(now/SettleTime))
+	})
+}
+
+// TestSignsOfColdStart guards against a restarted target being taken for a warm one.
+func TestSignsOfColdStart(t *testing.T) {
+	slow := func(s *State, now time.Duration) bool {
+		for range latencies {
+			observe(s, now, Succeeded, 10*time.Millisecond)
+		}
+		dropped := false
+		for range 2 * slowRun {
+			dropped = observe(s, now, Succeeded, 41*time.Millisecond) || dropped
+		}
+		return dropped
+	}
+	signs := map[string]func(s *State, now time.Duration) bool{
+		"two resets": func(s *State, now time.Duration) bool {
+			observe(s, now, Reset, 0)
+			return observe(s, now+signsWithin, Reset, 0)
+		},
+		"run of sheds": func(s *State, now time.Duration) bool {
+			for range 2*shedRun - 1 {
+				observe(s, now, Shed, 0)
+			}
+			return observe(s, now, Shed, 0)
+		},
+		"latency step": slow,
+		"says cold":    func(s *State, now time.Duration) bool { return observe(s, now, SaysCold, 0) },
+		"new incarnation": func(s *State, now time.Duration) bool {
+			_, ok := s.Observe(now, Observation{"t1", 2, Succeeded, time.Millisecond})
+			return ok
+		},
+		"return": func(s *State, now time.Duration) bool {
+			_, ok := s.Return(now, "t1")
+			return ok
+		},
+	}
+	for name, sign := range signs {
+		state := warmState()
+		require.True(t, sign(state, time.Second), name)
+		require.Equal(t, Cold, state.Phase("t1"), name)
+		require.Zero(t, state.Allowance(time.Second, "t1"), name)
+	}
+}
+
+// TestOlderStatementKeepsTargetCold guards against a late "warm" notice that overrules a newer "cold" one.
+func TestOlderStatementKeepsTargetCold(t *testing.T) {
+	state := warmState()
+	state.Return(0, "t1")
+	require.False(t, state.Apply(0, Statement{Target: "t1", Incarnation: 1, Epoch: 2, Warm: true}))
+	require.False(t, state.Apply(0, Statement{Target: "t1", Incarnation: 1, Epoch: 3, Warm: true}))
+	require.False(t, state.IsWarm("t1"))
+	require.True(t, state.Apply(0, Statement{Target: "t1", Incarnation: 1, Epoch: 4, Warm: true}))
+}
+
+// TestRepeatedProgressCountsOnce guards against a target warming up by reports that were repeated or reordered.
+func TestRepeatedProgressCountsOnce(t *testing.T) {
+	state := warmState()
+	state.Return(0, "t1")
+	for _, successes := range []uint64{5, 5, 7, 5, 7} {
+		state.Progress(SettleTime, "h1", Progress{"t1", 1, 3, successes, 0})
+	}
+	require.Equal(t, 1, state.Allowance(SettleTime, "t1"))
+	state.Progress(SettleTime, "h2", Progress{"t1", 1, 3, 1, 0})
+	require.Equal(t, 2, state.Allowance(SettleTime, "t1"))
+	require.Equal(t, Warming, state.Phase("t1"))
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -295,6 +295,15 @@
 	}
 }
 
+// Owner returns the first owner of a key in the newest table, or "" without a table. A Cold key has only one.
+func (s *State) Owner(key Key) model.HostID {
+	owners := s.tables[len(s.tables)-1].owners(key)
+	if len(owners) == 0 {
+		return ""
+	}
+	return owners[0]
+}
+
 // effective returns the part of the grant that this host owns: the smallest of its parts in the tables that it held
 // within the takeover wait. Another host may still use the rest.
 func (s *State) effective(e *entry, now time.Duration) float64 {
