--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -4,12 +4,13 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
 	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -28,7 +29,6 @@
 	meanServiceFactor = 1.22
 	firstVersion      = 7
 	maxBenchHosts     = 6
-	headKey           = "head"
 )
 
 // Names of the callers of the bench.
@@ -80,7 +80,7 @@
 		Catalogue: catalogue, Version: firstVersion, ServiceTime: w.serviceTime(catalogue), Seed: seed,
 	})
 	w.addHosts()
-	return w, w.publish()
+	return w, control.Bootstrap(context.Background(), w.store, w.catalogue)
 }
 
 func (w *world) addHosts() {
@@ -197,39 +197,51 @@
 // carelessGrant is the grant of the careless caller as a share of the capacity.
 const carelessGrant = 0.1
 
+// publishTimeout bounds the wait for the outcome of a change whose answer was lost.
+const publishTimeout = 2 * time.Second
+
 // publish accepts the world's catalogue as the next generation, as an operator does.
-func (w *world) publish() error {
-	value, err := json.Marshal(w.catalogue)
-	if err != nil {
-		return err
-	}
-	entry, err := w.store.Get(context.Background(), headKey)
-	if err != nil {
-		entry.Revision = 0
+func (w *world) publish(edits []change.Edit) error {
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	based := w.catalogue.Generation
+	id := fmt.Sprintf("bench-%d", based+1)
+	generation, err := control.Accept(ctx, w.store, change.Change{ID: id, BasedOn: based, Edits: edits})
+	if err == nil {
+		w.catalogue.Generation = generation
 	}
-	_, err = w.store.CompareAndSwap(context.Background(), headKey, entry.Revision, value)
 	return err
 }
 
-// touchCatalogue publishes a new generation.
+// touchCatalogue publishes a new generation with the same content.
 func (w *world) touchCatalogue() {
-	w.catalogue.Generation++
-	_ = w.publish() // the store may be down or lose the answer, as the scenario wants
+	w.change(w.catalogue)
+}
+
+// change publishes the next catalogue.
+func (w *world) change(next model.Catalogue) {
+	edits := change.Diff(&w.catalogue, &next)
+	if len(edits) == 0 {
+		first := change.Entries(&next, change.Caller)[0]
+		edits = []change.Edit{{Op: change.Put, Kind: first.Kind, ID: first.ID, Value: first.Value}}
+	}
+	w.catalogue = next
+	_ = w.publish(edits) // the store may be down or lose the answer, as the scenario wants
 }
 
 func (w *world) setDataCentreOut(out bool) {
 	centre := outCentre(w.catalogue)
-	w.catalogue = cloneOut(w.catalogue)
+	next := cloneOut(w.catalogue)
 	if out {
 		w.outAt = time.Now()
-		w.catalogue.DataCentresOut = []model.DataCentreOut{{
+		next.DataCentresOut = []model.DataCentreOut{{
 			ID: centre, Reason: "bench", Since: w.catalogue.Generation + 1,
 		}}
 	} else {
 		w.backAt = time.Now()
 		w.turnColdIn(centre)
 	}
-	w.touchCatalogue()
+	w.change(next)
 }
 
 func cloneOut(c model.Catalogue) model.Catalogue {
