Let the owners of the first fleet table use their shares at once

A fleet that starts for the first time refused every caller for 6 s (in-flight: 15.9 s), although nobody can have owned anything before the first table. A host that confirmed that no table exists skips the wait for generation 1; a host that only has not seen a table yet still waits. TestFirstTableNeedsNoWait covers both. Tick skips keys that nobody has used for the longest term of a loan, so 10,000 idle callers cost one comparison each.

--- a/internal/share/loan_test.go
+++ b/internal/share/loan_test.go
@@ -182,3 +182,17 @@
 		require.False(t, ok)
 	}
 }
+
+// TestFirstTableNeedsNoWait guards against a new fleet refusing all callers for seconds, and against a host that only
+// has not seen a table yet taking its first one for the first of the fleet.
+func TestFirstTableNeedsNoWait(t *testing.T) {
+	first, unsure := New(Config{Self: hostID(0)}), New(Config{Self: hostID(1)})
+	first.ConfirmNoTable()
+	for _, state := range []*State{first, unsure} {
+		state.SetGrant(0, rateKey, 200)
+		state.SetTable(0, Table{Generation: 1, Hosts: []TableHost{{ID: hostID(0)}, {ID: hostID(1)}}})
+	}
+	require.InDelta(t, 100, first.Usable(time.Second, rateKey), 1e-9)
+	require.Zero(t, unsure.Usable(5999*time.Millisecond, rateKey))
+	require.InDelta(t, 100, unsure.Usable(6*time.Second, rateKey), 1e-9)
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -66,8 +66,10 @@
 	ownInUse int
 	accounts map[Sender]*account
 	debts    map[model.HostID]*debt
-	term     time.Duration
-	termAt   time.Duration
+	// usedAt is the time of the last request or message about the key.
+	usedAt time.Duration
+	term   time.Duration
+	termAt time.Duration
 }
 
 // New returns a host without table and grants. It owns nothing until it has held a table for the takeover wait.
@@ -92,6 +94,14 @@
 // Generation returns the generation of the newest table.
 func (s *State) Generation() uint64 { return s.tables[len(s.tables)-1].generation }
 
+// ConfirmNoTable records that no table had been written when this host last confirmed its configuration. Nobody owned
+// anything before the first table, so its owners need not wait.
+func (s *State) ConfirmNoTable() {
+	if s.Generation() == 0 {
+		s.tables = []heldTable{{replacedAt: never, none: true}}
+	}
+}
+
 // SetTable replaces the table. Older tables are ignored.
 func (s *State) SetTable(now time.Duration, table Table) {
 	if table.Generation <= s.Generation() {
@@ -100,7 +110,9 @@
 	s.advanceAll(now)
 	last := &s.tables[len(s.tables)-1]
 	last.replacedAt = now
-	if table.Generation != last.generation+1 {
+	if last.none && table.Generation == 1 {
+		s.tables = nil
+	} else if table.Generation != last.generation+1 {
 		// A skipped table may have given this host's share to another one.
 		s.tables = append(s.tables, heldTable{generation: last.generation, replacedAt: now})
 	}
@@ -152,6 +164,7 @@
 func (s *State) Step(now time.Duration, from Sender, message Message) []Send {
 	if e := s.entries[message.key()]; e != nil {
 		s.advance(e, now)
+		e.usedAt = now
 	}
 	switch m := message.(type) {
 	case LoanRequest:
@@ -168,7 +181,7 @@
 func (s *State) Tick(now time.Duration) []Send {
 	s.forgetTables(now)
 	var sends []Send
-	for _, key := range s.sortedKeys() {
+	for _, key := range s.activeKeys(now) {
 		e := s.entries[key]
 		s.advance(e, now)
 		e.expirePending(now)
@@ -191,6 +204,7 @@
 		return false
 	}
 	s.advance(e, now)
+	e.usedAt = now
 	e.demand.add(now, amount)
 	return e.bucket.take(amount)
 }
@@ -216,6 +230,7 @@
 		return Unit{}, false
 	}
 	s.advance(e, now)
+	e.usedAt = now
 	e.demand.peak(now, e.inUse()+1)
 	e.noteTerm(now, deadline-now+renewInterval+250*time.Millisecond)
 	if !s.fenced && float64(e.ownInUse)+1 <= s.effective(e, now)-e.lent() {
@@ -412,10 +427,18 @@
 	s.tables = kept
 }
 
-func (s *State) sortedKeys() []Key {
-	return slices.SortedFunc(maps.Keys(s.entries), func(a, b Key) int {
+// activeKeys returns the keys that Tick has work for. An idle caller costs one comparison.
+func (s *State) activeKeys(now time.Duration) []Key {
+	var keys []Key
+	for key, e := range s.entries {
+		if e.grant <= 0 || now-e.usedAt <= lenderTerm(LongestTerm) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
 		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 	})
+	return keys
 }
 
 func sortSends(sends []Send) {
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -36,6 +36,8 @@
 	hosts      []hashedHost
 	// replacedAt is the time at which the host got a newer table.
 	replacedAt time.Duration
+	// none tells that it is confirmed that there was no table yet.
+	none bool
 }
 
 type hashedHost struct {
