Order the requests of a saturated host by weighted fair queueing

A FIFO lets a caller that sends over its share fill the queue in front of the others: the naive version in the test has a p99 wait of more than 50 ms for a calm caller, against a bound of 20 ms, which the fair queue holds for every seed. Ruled out: one queue per class, since two callers of one class still meet in it. A request that waited is now started only if the mean latency fits before its deadline.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,194 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/concurrency"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+const (
+	slots   = 10
+	service = 10 * time.Millisecond
+	step    = time.Millisecond
+)
+
+// scheduler is the controller, or the naive version that the tests compare it with.
+type scheduler interface {
+	Offer(now time.Duration, r Request) Decision
+	Finish(now, latency time.Duration, outcome concurrency.Outcome) []Request
+	Expire(now time.Duration) []Request
+}
+
+// fifo is the naive version: one queue for all callers, in order of arrival.
+type fifo struct {
+	running int
+	queue   []Request
+}
+
+func (f *fifo) Offer(_ time.Duration, r Request) Decision {
+	if f.running < slots {
+		f.running++
+		return Decision{Verdict: Started}
+	}
+	f.queue = append(f.queue, r)
+	return Decision{Verdict: Queued}
+}
+
+func (f *fifo) Finish(now, _ time.Duration, _ concurrency.Outcome) []Request {
+	f.running--
+	if len(f.queue) == 0 {
+		return nil
+	}
+	next := f.queue[0]
+	f.queue = f.queue[1:]
+	f.running++
+	return []Request{next}
+}
+
+func (f *fifo) Expire(time.Duration) []Request { return nil }
+
+func fixed() *Controller {
+	return New(Config{
+		Running:        concurrency.Config{Variant: concurrency.VariantFixed, Initial: slots, Max: slots},
+		QueuePerCaller: 256,
+		Latency:        service,
+	})
+}
+
+// outcome is what the simulation saw of one caller.
+type outcome struct {
+	waits   []time.Duration
+	refused int
+	late    int
+}
+
+// simulate offers load to a scheduler; rates are requests per millisecond. Each request runs for the service time.
+func simulate(s scheduler, seed uint64, rates map[model.CallerID]float64) map[model.CallerID]*outcome {
+	const duration = 2 * time.Second
+	rng := rand.New(rand.NewPCG(seed, 0))
+	result := map[model.CallerID]*outcome{}
+	arrived := map[uint64]time.Duration{}
+	ends := map[time.Duration][]Request{}
+	start := func(now time.Duration, r Request) {
+		seen := result[r.Caller]
+		seen.waits = append(seen.waits, now-arrived[r.ID])
+		if now+service > r.Deadline {
+			seen.late++
+		}
+		ends[now+service] = append(ends[now+service], r)
+	}
+	callers := []model.CallerID{}
+	for caller := range rates {
+		callers = append(callers, caller)
+		result[caller] = &outcome{}
+	}
+	slices.Sort(callers)
+	id := uint64(0)
+	for now := time.Duration(0); now < duration; now += step {
+		for _, r := range s.Expire(now) {
+			result[r.Caller].refused++
+		}
+		for range ends[now] {
+			for _, r := range s.Finish(now, service, concurrency.Success) {
+				start(now, r)
+			}
+		}
+		for _, caller := range callers {
+			for due := rates[caller]; due > 0 && rng.Float64() < due; due-- {
+				id++
+				r := Request{ID: id, Caller: caller, Class: model.ClassInteractive, Cost: 1, Deadline: now + 100*time.Millisecond}
+				arrived[id] = now
+				switch s.Offer(now, r).Verdict {
+				case Started:
+					start(now, r)
+				case TooLate, QueueFull:
+					result[caller].refused++
+				}
+			}
+		}
+	}
+	return result
+}
+
+func p99(waits []time.Duration) time.Duration {
+	slices.Sort(waits)
+	return waits[len(waits)*99/100]
+}
+
+// TestCarelessCallerDelaysNoOther guards against a caller that sends far over its share and fills the queue that others
+// wait in. The bound is the time that one round of the fair queue takes.
+func TestCarelessCallerDelaysNoOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		rates := map[model.CallerID]float64{"calm": 0.2, "careless": rapid.Float64Range(2, 10).Draw(t, "careless")}
+		calm := simulate(fixed(), seed, rates)["calm"]
+		require.Zero(t, calm.refused)
+		require.LessOrEqual(t, p99(calm.waits), 2*service)
+		naive := simulate(&fifo{}, seed, rates)["calm"]
+		require.Greater(t, p99(naive.waits), 5*service, "the naive version should fail")
+	})
+}
+
+// TestOverloadWastesNoWork guards against work that starts too late to be useful: at twice the capacity, nearly all
+// that starts must end in time, and the host stays busy.
+func TestOverloadWastesNoWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		rates := map[model.CallerID]float64{"a": 1, "b": 1}
+		inTime, capacity := 0, 2*time.Second/service*slots
+		for _, seen := range simulate(fixed(), seed, rates) {
+			require.Zero(t, seen.late, "a request was started that can't end in time")
+			inTime += len(seen.waits) - seen.late
+		}
+		require.Greater(t, inTime, int(capacity)*9/10)
+	})
+}
+
+// TestClassesShareByWeight guards against a class that starves, or one that gets no more than its lower.
+func TestClassesShareByWeight(t *testing.T) {
+	c := fixed()
+	started := map[model.CallerID]int{}
+	id := uint64(0)
+	for now := time.Duration(0); now < 10*time.Second; now += service {
+		for range slots {
+			for _, class := range []model.Class{model.ClassInteractive, model.ClassCounter, model.ClassBatch} {
+				id++
+				r := Request{ID: id, Caller: model.CallerID(class), Class: class, Cost: 1, Deadline: now + time.Hour}
+				c.Offer(now, r)
+			}
+		}
+		for range slots {
+			for _, r := range c.Finish(now, service, concurrency.Success) {
+				started[r.Caller]++
+			}
+		}
+	}
+	interactive := float64(started[model.CallerID(model.ClassInteractive)])
+	require.InEpsilon(t, 2, interactive/float64(started[model.CallerID(model.ClassCounter)]), 0.05)
+	require.InEpsilon(t, 4, interactive/float64(started[model.CallerID(model.ClassBatch)]), 0.05)
+}
+
+// TestQueuesAreBounded guards against memory that grows with the load, and against state of callers that are gone.
+func TestQueuesAreBounded(t *testing.T) {
+	c := fixed()
+	for i := range uint64(10000) {
+		c.Offer(0, Request{ID: i, Caller: "careless", Cost: 1, Deadline: time.Hour})
+	}
+	require.Equal(t, 256, c.Load().Waiting)
+	c.Expire(2 * time.Hour)
+	require.Zero(t, c.Load().Waiting)
+	for range slots {
+		c.Finish(2*time.Hour, service, concurrency.Success)
+	}
+	c.Offer(2*time.Hour, Request{ID: 1, Caller: "other", Cost: 1e6, Deadline: 3 * time.Hour})
+	c.Offer(2*time.Hour, Request{ID: 2, Caller: "other", Cost: 1, Deadline: 3 * time.Hour})
+	c.Forget()
+	require.Equal(t, 1, c.Load().Callers)
+}
