Wire the control loop into the host

Cause: the host followed the store by itself, refused nothing when it was cut off, and called no other hosts.

Change: server/control.go makes the peer transport and the control loop; callers are refused with cut_off (not_run) and /readyz turns not-ready while the host is fenced. Operators' commands go through the loop, which announces what it accepted; history and members come from it; other hosts are asked for their configuration status. Dumps and metrics of the control plane are added.

Fault found: the time until which a host serves was computed from the confirmation alone while that lasted, so at its end a host was fenced for up to 50 ms although the store outage was proven.

--- a/internal/callerapi/observe_test.go
+++ b/internal/callerapi/observe_test.go
@@ -36,6 +36,29 @@
 	return &model.Catalogue{Callers: []model.Caller{{ID: "c", TokenSHA256: []string{sum}, Searches: []model.SearchID{"s"}}}}
 }
 
+func (oneCaller) Ready() error { return nil }
+
+type cutOff struct{ oneCaller }
+
+func (cutOff) Ready() error {
+	return fault.New(fault.CutOff, fault.NotRun, "use another host", "cut off")
+}
+
+// Guards against a host that may lack an accepted change and still takes work, or tells the balancer that it is ready.
+func TestFencedHostRefuses(t *testing.T) {
+	handler := New(zap.NewNop(), halfSearcher{}, cutOff{}, metrics.NewSet(), explain.New(16)).Handler()
+	for _, request := range []*http.Request{
+		httptest.NewRequest(http.MethodGet, "/readyz", nil),
+		httptest.NewRequest(http.MethodPost, "/v1/search", strings.NewReader(`{"search":"s","limit":1,"deadline_ms":10}`)),
+	} {
+		request.Header.Set("Authorization", "Bearer secret")
+		response := httptest.NewRecorder()
+		handler.ServeHTTP(response, request)
+		require.Equal(t, http.StatusServiceUnavailable, response.Code)
+		require.Contains(t, response.Body.String(), `"kind":"cut_off","execution":"not_run"`)
+	}
+}
+
 // Guards against refusals or partial answers that no metric counts or no record explains, and against metrics that the
 // documentation lacks.
 func TestAnswersAndRefusalsAreCountedAndRecorded(t *testing.T) {
--- a/internal/configstate/state.go
+++ b/internal/configstate/state.go
@@ -82,21 +82,26 @@
 // Age returns the age of the confirmation, or false if there has been none.
 func (s *State) Age(now time.Duration) (time.Duration, bool) { return now - s.confirmedAt, s.confirmed }
 
-// Fenced tells whether the host may be cut off from accepted changes.
-func (s *State) Fenced(now time.Duration) bool {
+// ServesUntil returns the time until which the host may take new work if nothing more arrives. From then on it may be cut
+// off from accepted changes. rely tells whether the host has asked enough others to rely on the proof of a store outage.
+func (s *State) ServesUntil(now time.Duration, rely bool) time.Duration {
 	if s.Catalogue.Generation() == 0 {
-		return true
+		return 0
 	}
+	var until time.Duration
 	// A confirmation from before this process started may lack what an earlier run of the host had in force already.
-	if age, ok := s.Age(now); ok && age <= FenceAge && s.confirmedAt >= 0 {
-		return false
+	if s.confirmed && s.confirmedAt >= 0 {
+		until = s.confirmedAt + FenceAge
 	}
-	if s.Behind() {
-		return true
+	if rely && !s.Behind() && s.Reports.Trouble(now) && s.Reports.OutageProven(now, s.Catalogue.Document(), s.Catalogue.Generation()) {
+		until = max(until, now+outageRecheck)
 	}
-	return !s.Reports.OutageProven(now, s.Catalogue.Document(), s.Catalogue.Generation())
+	return until
 }
 
+// outageRecheck is the time for which the proof of a store outage holds before it is checked again.
+const outageRecheck = 300 * time.Millisecond
+
 // Answer returns the reply to a pull.
 func (s *State) Answer(now time.Duration, pull Pull) (PullReply, error) {
 	reply := PullReply{Generation: s.Catalogue.Generation(), Fleet: s.Fleet.Generation(), AgeMS: -1}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -231,12 +231,12 @@
 // FleetTable implements View.
 func (l *Loop) FleetTable() FleetTable { return *l.fleet.Load() }
 
-// Changes returns the recent accepted changes in the order of their generations.
-func (l *Loop) Changes() []change.Accepted {
+// Changes returns the recent accepted changes in the order of their generations. It needs no store.
+func (l *Loop) Changes(context.Context) ([]change.Accepted, error) {
 	if changes := l.changes.Load(); changes != nil {
-		return *changes
+		return *changes, nil
 	}
-	return []change.Accepted{}
+	return []change.Accepted{}, nil
 }
 
 // Publish implements View. The notice is dropped and counted if the control loop has too much to do.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -235,17 +235,8 @@
 // servesUntil returns the time until which this host may take new work if nothing more arrives; a time in the past means
 // that it may be cut off.
 func (n *node) servesUntil(now time.Duration) time.Duration {
-	if n.members.Superseded() || n.state.Fenced(now) {
+	if n.members.Superseded() {
 		return 0
 	}
-	if age, ok := n.state.Age(now); ok && age <= min(configstate.FenceAge, now) {
-		return now - age + configstate.FenceAge
-	}
-	if len(n.asked) < min(enoughAsked, n.members.Len()-1) {
-		return 0
-	}
-	return now + outageRecheck
+	return n.state.ServesUntil(now, len(n.asked) >= min(enoughAsked, n.members.Len()-1))
 }
-
-// outageRecheck is the time for which the proof of a store outage holds before it is checked again.
-const outageRecheck = 300 * time.Millisecond
--- /dev/null
+++ b/internal/server/control.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"context"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/query"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/settings"
+)
+
+// trialKey authenticates the peers of trials and measurements whose settings name no key file.
+var trialKey = []byte("knapweedrouter trial without a secret key")
+
+// fleetState is the part of a server that acts together with the other hosts.
+type fleetState struct {
+	transport *peer.FrameTransport
+	control   *control.Loop
+	// err is returned when the server is started.
+	err error
+}
+
+// joinFleet makes the peer transport and the control loop. Neither is started, so that handlers and receivers can be
+// added.
+func (s *Server) joinFleet(incarnation model.Incarnation) {
+	keys, err := s.fleetKeys()
+	if err != nil {
+		s.fleet.err = err
+		keys = [][]byte{trialKey}
+	}
+	transport, err := peer.New(s.logger, peer.Config{
+		Listen:  s.settings.PeerListen,
+		Self:    peer.Sender{Host: s.settings.HostID, Incarnation: incarnation},
+		Keys:    keys,
+		Network: s.ports.Network,
+	})
+	if err != nil {
+		// The files have been read and their length checked, so that only their number can be wrong.
+		s.fleet.err = eris.Wrap(err, "fleet_key_files")
+		return
+	}
+	s.fleet.transport = transport
+	s.fleet.control = control.New(s.logger, control.Config{
+		Self: membership.Member{
+			ID:          s.settings.HostID,
+			Incarnation: incarnation,
+			Address:     s.settings.PeerListen,
+			DataCentre:  s.settings.DataCentre,
+			Region:      s.settings.Region,
+		},
+		Store:       s.ports.Store,
+		HostList:    s.ports.HostList,
+		Transport:   transport,
+		OnCatalogue: s.apply,
+	})
+	query.HandleStatus(transport, s.configurationStatus)
+}
+
+// fleetKeys reads the keys that authenticate peers.
+func (s *Server) fleetKeys() ([][]byte, error) {
+	if len(s.settings.FleetKeyFiles) == 0 {
+		s.logger.Warn("no fleet_key_files: anybody who reaches the peer listener can speak for a host; use this in trials only")
+		return [][]byte{trialKey}, nil
+	}
+	var keys [][]byte
+	for _, path := range s.settings.FleetKeyFiles {
+		key, err := settings.ReadSecret(path)
+		if err != nil {
+			return nil, eris.Wrap(err, "fleet_key_files")
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
+
+// listenForPeers opens the listener for other hosts.
+func (s *Server) listenForPeers() (net.Listener, error) {
+	if s.fleet.err != nil {
+		return nil, s.fleet.err
+	}
+	listener, err := s.ports.Network.Listen(s.settings.PeerListen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peer listener: choose another peer_listen than %s", s.settings.PeerListen)
+	}
+	return listener, nil
+}
+
+// startFleet starts the peer transport and the control loop. They end with the context.
+func (s *Server) startFleet(ctx context.Context, duties *conc.WaitGroup, listener net.Listener) {
+	duties.Go(func() {
+		if err := s.fleet.transport.Serve(ctx, listener); err != nil {
+			s.logger.Error("peer listener ended", zap.Error(err))
+		}
+	})
+	duties.Go(func() { s.fleet.control.Run(ctx) })
+}
+
+// Ready returns nil if this host takes new work, or the refusal to send.
+func (s *Server) Ready() error {
+	if s.fleet.control == nil {
+		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has not joined the others")
+	}
+	return s.fleet.control.Ready()
+}
+
+// apply notes that a catalogue is in force.
+func (s *Server) apply(catalogue *model.Catalogue) {
+	s.catalogue.Store(catalogue)
+	s.operator.applied(catalogue.Generation)
+	s.logger.Info("configuration in force", zap.Uint64("generation", uint64(catalogue.Generation)))
+}
+
+// addControlDumps adds the state of the control plane to the dumps and metrics.
+func (s *Server) addControlDumps() {
+	if s.fleet.control == nil {
+		return
+	}
+	s.operator.dumps.Add("control", func() any {
+		ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+		defer cancel()
+		status, err := s.fleet.control.Status(ctx)
+		if err != nil {
+			return map[string]string{"error": err.Error()}
+		}
+		return status
+	})
+	s.operator.dumps.Add("members", func() any { return s.fleet.control.Members() })
+	s.operator.dumps.Add("fleet", func() any { return s.fleet.control.FleetTable() })
+	s.operator.dumps.Add("peers", func() any { return s.fleet.transport.Stats() })
+	set := s.operator.metrics
+	gauge := func(name string, read func(peer.Stats) uint64) {
+		set.NewGauge(name, func() float64 { return float64(read(s.fleet.transport.Stats())) })
+	}
+	gauge(`knapweedrouter_peer_bytes_total{direction="sent"}`, func(p peer.Stats) uint64 { return p.BytesSent })
+	gauge(`knapweedrouter_peer_bytes_total{direction="received"}`, func(p peer.Stats) uint64 { return p.BytesReceived })
+	gauge(`knapweedrouter_peer_frames_total{direction="sent"}`, func(p peer.Stats) uint64 { return p.FramesSent })
+	gauge(`knapweedrouter_peer_frames_total{direction="received"}`, func(p peer.Stats) uint64 { return p.FramesReceived })
+	gauge("knapweedrouter_peer_silent_connections_total", func(p peer.Stats) uint64 { return p.Silent })
+	set.NewGauge("knapweedrouter_members", func() float64 { return float64(len(s.fleet.control.Members())) })
+	set.NewGauge("knapweedrouter_fenced", func() float64 {
+		if s.fleet.control.Fenced() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -12,16 +12,12 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/explain"
-	"github.com/knapweedrouter/knapweedrouter/internal/fault"
-	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/command"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/query"
-	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/statedump"
 	"github.com/knapweedrouter/knapweedrouter/internal/version"
 )
@@ -87,11 +83,12 @@
 	}
 	s.addDumps()
 	s.addMetrics()
+	s.addControlDumps()
 	api := operatorapi.New(s.logger, operatorapi.Config{
 		Tokens:  tokens,
 		Metrics: s.operator.metrics,
 		Dumps:   s.operator.dumps,
-		Ready:   s.ready,
+		Ready:   s.Ready,
 		Routes:  []operatorapi.Routes{s.commands(), s.queries()},
 	})
 	return operatorListener{server: api.Server(), listener: listener}, nil
@@ -106,26 +103,17 @@
 	}
 }
 
-// ready returns nil if this host takes new work.
-func (s *Server) ready() error {
-	if s.Catalogue() == nil {
-		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
-	}
-	return nil
-}
-
 func (s *Server) commands() operatorapi.Routes {
-	acceptor := control.Acceptor{Store: s.ports.Store}
-	return command.New(s.logger, command.Config{Acceptor: acceptor, Catalogues: s, Statuses: s.inventory})
+	return command.New(s.logger, command.Config{Acceptor: s.fleet.control, Catalogues: s, Statuses: s.inventory})
 }
 
 func (s *Server) queries() operatorapi.Routes {
 	return query.New(query.Config{
 		Host:      s.settings.HostID,
-		View:      ownView{s},
-		History:   control.Acceptor{Store: s.ports.Store},
+		View:      s.fleet.control,
+		History:   s.fleet.control,
 		Explainer: s.operator.recorder,
-		Peers:     noPeers{},
+		Peers:     s.fleet.transport,
 		Own:       s.configurationStatus,
 	})
 }
@@ -170,30 +158,9 @@
 		return float64(generation)
 	})
 	set.NewGauge("knapweedrouter_ready", func() float64 {
-		if s.ready() != nil {
+		if s.Ready() != nil {
 			return 0
 		}
 		return 1
 	})
 }
-
-// The following ports stand in until the control loop provides them.
-
-type ownView struct{ *Server }
-
-func (v ownView) Members() []membership.Member {
-	return []membership.Member{{
-		ID:          v.settings.HostID,
-		Incarnation: v.operator.incarnation,
-		Address:     v.settings.PeerListen,
-		DataCentre:  v.settings.DataCentre,
-		Region:      v.settings.Region,
-		State:       membership.Alive,
-	}}
-}
-
-type noPeers struct{}
-
-func (noPeers) Call(context.Context, string, peer.Kind, any, any) error {
-	return errors.New("this build calls no other hosts")
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,7 @@
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
 	operator  *operatorState
+	fleet     fleetState
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -64,7 +65,7 @@
 func New(logger *zap.Logger, s settings.Settings, ports Ports) *Server {
 	reports := inventory.New()
 	incarnation := model.Incarnation(time.Now().UnixNano())
-	return &Server{
+	server := &Server{
 		logger:    logger,
 		settings:  s,
 		ports:     ports,
@@ -72,6 +73,8 @@
 		engine:    query.New(ports.Targets, reports, incarnation),
 		operator:  newOperatorState(incarnation),
 	}
+	server.joinFleet(incarnation)
+	return server
 }
 
 // Catalogue returns the catalogue in force, or nil before the first.
@@ -83,6 +86,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", s.settings.CallerListen)
 	}
+	peers, err := s.listenForPeers()
+	if err != nil {
+		return err
+	}
 	operators, err := s.listenForOperators()
 	if err != nil {
 		return err
@@ -96,7 +103,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var duties conc.WaitGroup
-	duties.Go(func() { s.followConfiguration(ctx) })
+	s.startFleet(ctx, &duties, peers)
 	duties.Go(func() { s.pollStatuses(ctx) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
