Keep suspicions private, halve small frames and split the pull trees

Cause: stepping whole fleets showed three costs. With 5 % of the frames lost, 4,600 hosts suspect about 15 members a second (computed), and each suspicion and refutation went to all hosts. Field names doubled small frames. A host that was an inner one in both trees answered 16 pulls a second.

Change: a suspicion stays with the host that has it, which asks again, directly and through others, until the member answers or has been silent for 2 s; only the death is spread. Bodies are encoded as arrays of fields. The second tree has the reverse order of the first, so that no host is an inner one in both. A place in the trees is computed again only when a member of the own data centre changes.

--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// benchCentres returns data centres of the expected deployment: 13 in 5 regions, or today's 4 for few hosts.
+func benchCentres(hosts int) []model.DataCentreInfo {
+	count, regions := 13, 5
+	if hosts <= 12 {
+		count, regions = 4, 4
+	}
+	var centres []model.DataCentreInfo
+	for i := range count {
+		centres = append(centres, model.DataCentreInfo{
+			ID: model.DataCentreID(fmt.Sprintf("dc-%02d", i)), Region: model.RegionID(fmt.Sprintf("region-%d", i%regions)),
+		})
+	}
+	return centres
+}
+
+// benchDelay is 1 ms within a data centre, 2 ms within a region and 60 ms between regions, one way.
+func benchDelay(from, to *simHost) time.Duration {
+	switch {
+	case from.self.DataCentre == to.self.DataCentre:
+		return time.Millisecond
+	case from.self.Region == to.self.Region:
+		return 2 * time.Millisecond
+	}
+	return 60 * time.Millisecond
+}
+
+type benchRun struct {
+	*sim
+	b     *testing.B
+	isCut bool
+}
+
+func (r *benchRun) inCut(h *simHost) bool { return r.isCut && h.self.Region == "region-0" }
+
+func newBenchRun(b *testing.B, hosts int) *benchRun {
+	r := &benchRun{sim: newSim(1), b: b}
+	r.loss = 0.05
+	r.measure = true
+	r.delay = benchDelay
+	r.cut = func(from, to *simHost) bool { return r.inCut(from) != r.inCut(to) }
+	r.storeFails = r.inCut
+	centres := benchCentres(hosts)
+	r.accept(centreEdits(centres), true)
+	r.addHosts(hosts, centres, true)
+	return r
+}
+
+// spread accepts a change and returns the time until it is in force on 99.9 % and on all of the hosts that count.
+func (r *benchRun) spread(counts func(*simHost) bool) (most, all time.Duration) {
+	start := r.now
+	c := r.accept(outEdit(fmt.Sprint("x", len(r.accepted))), true)
+	writer := r.hosts[len(r.hosts)-1]
+	writer.node.accepted(r.now-writer.started, c.BasedOn+1, c)
+	return r.await(start, counts)
+}
+
+// await waits until the newest generation is in force.
+func (r *benchRun) await(start time.Duration, counts func(*simHost) bool) (most, all time.Duration) {
+	newest := model.Generation(len(r.accepted))
+	for r.now-start < time.Minute {
+		r.advance(10*time.Millisecond, nil)
+		total, done := 0, 0
+		for _, h := range r.hosts {
+			if !counts(h) {
+				continue
+			}
+			total++
+			if h.node.state.Catalogue.Generation() >= newest {
+				done++
+			}
+		}
+		if most == 0 && 1000*done >= 999*total {
+			most = r.now - start
+		}
+		if done == total {
+			return most, r.now - start
+		}
+	}
+	r.b.Fatalf("generation %d is not everywhere after a minute", newest)
+	return 0, 0
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err) // the call exists on every system that runs the tests
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// steady measures a time without changes.
+func (r *benchRun) steady(d time.Duration) {
+	for _, h := range r.hosts {
+		h.bytes, h.calls = 0, 0
+	}
+	fenced, samples := 0, 0
+	began := processorTime()
+	r.advance(d, func() {
+		for _, h := range r.hosts {
+			samples++
+			if h.serves <= r.now {
+				fenced++
+			}
+		}
+	})
+	used := processorTime() - began
+	var bytes, most uint64
+	calls := 0
+	for _, h := range r.hosts {
+		bytes += h.bytes
+		most = max(most, h.bytes)
+		calls += h.calls
+	}
+	hostSeconds := float64(len(r.hosts)) * d.Seconds()
+	r.b.ReportMetric(float64(bytes)/hostSeconds, "B/host/s")
+	r.b.ReportMetric(float64(most)/d.Seconds(), "B/s-max")
+	r.b.ReportMetric(used.Seconds()/hostSeconds*100, "%core/host")
+	r.b.ReportMetric(float64(calls)/d.Seconds(), "store-calls/s")
+	r.b.ReportMetric(float64(fenced)/float64(samples), "fenced")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func everyHost(*simHost) bool { return true }
+
+// BenchmarkControlPlane steps the state machines of whole fleets with 5 % of the frames lost. Times are in the
+// simulation; B counts frames of both directions without TCP and IP headers.
+func BenchmarkControlPlane(b *testing.B) {
+	for _, hosts := range []int{12, 100, 1000, 4600} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkFleet(b, hosts)
+			}
+		})
+	}
+}
+
+func benchmarkFleet(b *testing.B, hosts int) {
+	// Without it the garbage of 4,600 hosts takes more than half of the memory of a small machine.
+	defer debug.SetGCPercent(debug.SetGCPercent(30))
+	before := heap()
+	r := newBenchRun(b, hosts)
+	r.advance(10*time.Second, nil)
+	b.ReportMetric(float64(heap()-before)/float64(hosts)/1024, "KiB/host")
+	r.steady(10 * time.Second)
+	var worstMost, worstAll time.Duration
+	for range 5 {
+		most, all := r.spread(everyHost)
+		worstMost, worstAll = max(worstMost, most), max(worstAll, all)
+		r.advance(time.Second, nil)
+	}
+	b.ReportMetric(worstMost.Seconds(), "s-99.9%")
+	b.ReportMetric(worstAll.Seconds(), "s-100%")
+	r.isCut = true
+	r.advance(15*time.Second, nil)
+	_, outside := r.spread(func(h *simHost) bool { return !r.inCut(h) })
+	serving := 0
+	for _, h := range r.hosts {
+		if r.inCut(h) && h.serves > r.now {
+			serving++
+		}
+	}
+	r.isCut = false
+	_, rejoined := r.await(r.now, everyHost)
+	_, after := r.spread(everyHost)
+	b.ReportMetric(outside.Seconds(), "s-outside-cut")
+	b.ReportMetric(rejoined.Seconds(), "s-rejoined")
+	b.ReportMetric(after.Seconds(), "s-after-rejoin")
+	b.ReportMetric(float64(serving), "cut-serving")
+	b.ReportMetric(0, "ns/op") // the wall time of a run says nothing
+	runtime.KeepAlive(r)
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -72,6 +72,7 @@
 	fleet       atomic.Pointer[FleetTable]
 	changes     atomic.Pointer[[]change.Accepted]
 	version     uint64 // of the members that were published last
+	nextMembers time.Duration
 }
 
 // New returns a control loop that has not started. It registers its handlers at the transport.
@@ -154,8 +155,10 @@
 			l.cfg.OnCatalogue(catalogue)
 		}
 	}
-	if version := l.node.members.Version(); version != l.version {
+	// A cut of a region changes a thousand members within seconds, so the list is not copied at each change.
+	if version := l.node.members.Version(); version != l.version && (now >= l.nextMembers) {
 		l.version = version
+		l.nextMembers = now + tickInterval
 		members := l.node.members.Members()
 		l.members.Store(&members)
 	}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -29,6 +29,7 @@
 
 	topology        topology
 	foreign         []membership.Member // relays of other data centres
+	foreignVersion  uint64
 	topologyVersion uint64
 	topologyCurrent model.Generation
 	nextTopology    time.Duration
@@ -112,21 +113,22 @@
 	}
 }
 
-// updateTopology computes the place in the trees again if a member or the catalogue has changed.
+// updateTopology computes the place in the trees again if a member of the data centre or the catalogue has changed.
 func (n *node) updateTopology(now time.Duration) {
-	version, generation := n.members.Version(), n.state.Catalogue.Generation()
-	if now < n.nextTopology || version == n.topologyVersion && generation == n.topologyCurrent {
+	if now < n.nextTopology {
 		return
 	}
-	n.nextTopology = now + topologyInterval
-	n.topologyVersion, n.topologyCurrent = version, generation
 	self := n.members.Self()
-	members := n.members.Members()
-	local := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.DataCentre != self.DataCentre })
-	n.topology = newTopology(self, local, n.isOut)
-	n.foreign = nil
-	if n.topology.slot >= 0 {
-		n.foreign = relaysOf(members, self.DataCentre)
+	local, generation := n.members.LocalVersion(), n.state.Catalogue.Generation()
+	if local != n.topologyVersion || generation != n.topologyCurrent {
+		n.nextTopology = now + topologyInterval
+		n.topologyVersion, n.topologyCurrent = local, generation
+		n.topology = newTopology(self, n.members.Local(), n.isOut)
+	}
+	if version := n.members.Version(); n.topology.slot >= 0 && version != n.foreignVersion {
+		n.nextTopology = now + topologyInterval
+		n.foreignVersion = version
+		n.foreign = relaysOf(n.members.Members(), self.DataCentre)
 	}
 }
 
--- a/internal/control/sim_test.go
+++ b/internal/control/sim_test.go
@@ -5,12 +5,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/knapweedrouter/knapweedrouter/internal/change"
 	"github.com/knapweedrouter/knapweedrouter/internal/configstate"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
@@ -238,7 +237,7 @@
 	if !s.measure {
 		return
 	}
-	encoded, err := msgpack.Marshal(body)
+	encoded, err := peer.Marshal(body)
 	if err != nil {
 		panic(err) // a body without an encoding is a programming error
 	}
--- a/internal/control/topology.go
+++ b/internal/control/topology.go
@@ -11,14 +11,15 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
-// treeFanout is the number of children of an inner host in a pull tree. With two trees and two pulls a second of each
-// host, it answers 16 pulls a second, and 354 hosts need three levels.
+// treeFanout is the number of children of an inner host in a pull tree. 354 hosts need three levels. Each host pulls twice
+// a second, from its two trees in turn, so an inner host answers 8 pulls a second.
 const treeFanout = 8
 
-// seeds of the hashes that choose the relays and order the trees.
-const relaySeed = "relay/"
-
-var treeSeeds = [configstate.Relays]string{"tree0/", "tree1/"}
+// Seeds of the hashes that choose the relays and order the trees.
+const (
+	relaySeed = "relay/"
+	treeSeed  = "tree/"
+)
 
 func weight(seed string, id model.HostID) uint64 {
 	var digest xxhash.Digest
@@ -58,17 +59,18 @@
 	if t.slot >= 0 {
 		return t
 	}
-	rest := serving[len(t.relays):]
-	for tree := range t.relays {
-		t.parents = append(t.parents, parentOf(self, rest, t.relays[tree], treeSeeds[tree]))
+	ordered := serving[len(t.relays):]
+	slices.SortFunc(ordered, compareByWeight(treeSeed))
+	for _, relay := range t.relays {
+		t.parents = append(t.parents, parentOf(self, ordered, relay))
+		// The second tree has the reverse order, so that no host is an inner one in both.
+		slices.Reverse(ordered)
 	}
 	return t
 }
 
-// parentOf returns the parent of a host in the tree below a relay.
-func parentOf(self membership.Member, rest []membership.Member, relay membership.Member, seed string) membership.Member {
-	ordered := slices.Clone(rest)
-	slices.SortFunc(ordered, compareByWeight(seed))
+// parentOf returns the parent of a host in the tree of the ordered hosts below a relay.
+func parentOf(self membership.Member, ordered []membership.Member, relay membership.Member) membership.Member {
 	place := slices.IndexFunc(ordered, func(m membership.Member) bool { return m.ID == self.ID })
 	if place < treeFanout {
 		return relay
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -85,6 +85,8 @@
 type record struct {
 	Member
 	since    time.Duration // when the state was entered
+	suspect  bool          // it did not answer this host; others are not told before it is declared dead
+	doubted  time.Duration // when it became suspect
 	listed   bool          // the host list names the member
 	place    int           // index in the probe order
 	requests []requester   // hosts that asked for an indirect probe
@@ -109,11 +111,12 @@
 	members map[model.HostID]*record
 	order   []model.HostID // the members in the order of probing
 	next    int
-	// dead and suspects are as of the last probe.
+	// dead and suspects hold at least the members that are so.
 	dead     []model.HostID
 	suspects []model.HostID
 	queue    updateQueue
 	version  uint64
+	local    uint64 // version of the members in this host\'s data centre
 
 	lastTick  time.Duration
 	nextProbe time.Duration
@@ -129,7 +132,7 @@
 
 // New returns a list that holds this host only.
 func New(cfg Config, self Member, rng *rand.Rand) *Membership {
-	m := &Membership{cfg: cfg.withDefaults(), rng: rng, self: self, members: map[model.HostID]*record{}, version: 1}
+	m := &Membership{cfg: cfg.withDefaults(), rng: rng, self: self, members: map[model.HostID]*record{}, version: 1, local: 1}
 	m.self.State = Alive
 	m.nextProbe = time.Duration(rng.Int64N(int64(m.cfg.ProbeInterval)))
 	m.nextDead = time.Duration(rng.Int64N(int64(m.cfg.DeadInterval)))
@@ -143,6 +146,20 @@
 // Version grows whenever a member changes.
 func (m *Membership) Version() uint64 { return m.version }
 
+// LocalVersion grows whenever a member of this host's data centre changes.
+func (m *Membership) LocalVersion() uint64 { return m.local }
+
+// Local returns the members of this host's data centre that are not dead, this host included.
+func (m *Membership) Local() []Member {
+	result := []Member{m.self}
+	for _, r := range m.members {
+		if r.State != Dead && r.DataCentre == m.self.DataCentre {
+			result = append(result, r.Member)
+		}
+	}
+	return result
+}
+
 // Superseded tells whether a newer run of this host is known, so that this one must stop.
 func (m *Membership) Superseded() bool { return m.superseded }
 
@@ -158,12 +175,21 @@
 	result = append(result, m.self)
 	for _, r := range m.members {
 		if r.State != Dead {
-			result = append(result, r.Member)
+			result = append(result, r.shown())
 		}
 	}
 	return result
 }
 
+// shown returns the member with this host's own suspicion.
+func (r *record) shown() Member {
+	shown := r.Member
+	if r.suspect && shown.State == Alive {
+		shown.State = Suspect
+	}
+	return shown
+}
+
 // Len returns the number of known members, dead ones included.
 func (m *Membership) Len() int { return len(m.members) + 1 }
 
@@ -188,7 +214,7 @@
 	// A bounded number of draws keeps the cost independent of how many members are dead.
 	for range 4 * n {
 		r := m.members[m.order[m.rng.IntN(len(m.order))]]
-		if r.State != Alive && r.State != Suspect {
+		if r.State != Alive {
 			continue
 		}
 		if slices.ContainsFunc(chosen, func(c Member) bool { return c.ID == r.ID }) {
@@ -225,7 +251,7 @@
 func (m *Membership) Leave() Member {
 	m.self.State = Leaving
 	m.self.Sequence++
-	m.changed(m.self.ID)
+	m.changed(m.self)
 	return m.self
 }
 
@@ -238,7 +264,7 @@
 	m.self.Incarnation = known + 1
 	m.self.Sequence = 0
 	m.superseded = false
-	m.changed(m.self.ID)
+	m.changed(m.self)
 }
 
 func (m *Membership) insert(now time.Duration, member Member) *record {
@@ -249,7 +275,7 @@
 	m.order = append(m.order, member.ID)
 	r.place = len(m.order) - 1
 	m.swap(place, r.place)
-	m.version++
+	m.bump(r.Member)
 	return r
 }
 
@@ -265,12 +291,20 @@
 	m.swap(r.place, last)
 	m.order = m.order[:last]
 	delete(m.members, id)
-	m.version++
+	m.bump(r.Member)
 }
 
-func (m *Membership) changed(id model.HostID) {
+// bump notes that a member has changed.
+func (m *Membership) bump(member Member) {
 	m.version++
-	m.queue.add(id)
+	if member.DataCentre == m.self.DataCentre {
+		m.local++
+	}
+}
+
+func (m *Membership) changed(member Member) {
+	m.bump(member)
+	m.queue.add(member.ID)
 }
 
 // Merge takes a statement about a member.
@@ -279,6 +313,9 @@
 		m.mergeSelf(stated)
 		return
 	}
+	if stated.State == Suspect {
+		stated.State = Alive // a suspicion concerns the host that has it
+	}
 	r, ok := m.members[stated.ID]
 	if !ok {
 		if stated.State != Dead {
@@ -294,11 +331,17 @@
 }
 
 func (m *Membership) set(now time.Duration, r *record, stated Member) {
-	// A suspicion with a higher sequence is a new one: the member refuted the earlier one in between.
+	if r.DataCentre != stated.DataCentre {
+		m.bump(r.Member) // it leaves its data centre, which may be this host's
+	}
 	r.since = now
+	r.suspect = false
 	r.requests = nil
 	r.Member = stated
-	m.changed(stated.ID)
+	if stated.State == Dead {
+		m.dead = append(m.dead, stated.ID)
+	}
+	m.changed(stated)
 }
 
 // mergeSelf refutes a statement that this host is not alive.
@@ -309,7 +352,7 @@
 	case stated.Incarnation < m.self.Incarnation:
 	case stated.State != m.self.State && stated.Sequence >= m.self.Sequence:
 		m.self.Sequence = stated.Sequence + 1
-		m.changed(m.self.ID)
+		m.changed(m.self)
 	}
 }
 
--- a/internal/membership/probing.go
+++ b/internal/membership/probing.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
 // pauseAfter is the time between two ticks after which this process was paused and its own deadlines prove nothing.
@@ -18,7 +20,7 @@
 	if now >= m.nextProbe {
 		m.nextProbe = now + m.cfg.ProbeInterval
 		m.expireMembers(now)
-		messages = append(messages, m.probeSuspects()...)
+		messages = append(messages, m.probeSuspects(now)...)
 		if message, ok := m.probeNext(now); ok {
 			messages = append(messages, message)
 		}
@@ -35,9 +37,9 @@
 // resume gives suspected members their time again: the answers that arrived during a pause were not read.
 func (m *Membership) resume(now time.Duration) {
 	m.pending = nil
-	for _, r := range m.members {
-		if r.State == Suspect {
-			r.since = now
+	for _, id := range m.suspects {
+		if r, ok := m.members[id]; ok {
+			r.doubted = now
 		}
 	}
 }
@@ -54,12 +56,17 @@
 		if r.State == Dead {
 			continue
 		}
-		m.pending = append(m.pending, probing{target: r.ID, deadline: now + m.cfg.ProbeTimeout})
-		return m.probe(r), true
+		return m.probeAwaited(now, r), true
 	}
 	return Message{}, false
 }
 
+// probeAwaited probes a member and notes that it has to answer.
+func (m *Membership) probeAwaited(now time.Duration, r *record) Message {
+	m.pending = append(m.pending, probing{target: r.ID, deadline: now + m.cfg.ProbeTimeout})
+	return m.probe(r)
+}
+
 func (m *Membership) shuffle() {
 	m.rng.Shuffle(len(m.order), func(i, j int) { m.swap(i, j) })
 }
@@ -67,11 +74,11 @@
 // maxSuspectProbes bounds the extra probes of suspected members in one interval.
 const maxSuspectProbes = 2
 
-// probeSuspects gives suspected members further chances to refute.
-func (m *Membership) probeSuspects() []Message {
+// probeSuspects gives suspected members further chances to answer, directly and through others.
+func (m *Membership) probeSuspects(now time.Duration) []Message {
 	var messages []Message
-	for range min(maxSuspectProbes, len(m.suspects)) {
-		messages = append(messages, m.probe(m.members[m.suspects[m.rng.IntN(len(m.suspects))]]))
+	for i := range min(maxSuspectProbes, len(m.suspects)) {
+		messages = append(messages, m.probeAwaited(now, m.members[m.suspects[i]]))
 	}
 	return messages
 }
@@ -119,8 +126,6 @@
 		}
 		if p.indirect {
 			m.suspect(now, r)
-			// The suspected member learns of it at once, instead of when the statement happens to reach it.
-			messages = append(messages, m.probe(r))
 			continue
 		}
 		for _, helper := range m.Random(indirectProbes) {
@@ -136,42 +141,49 @@
 	return messages
 }
 
+// suspect notes that a member did not answer. With 5 % of the frames lost, 4,600 hosts suspect about 15 members a second,
+// so a suspicion is not spread: the host that has it asks again until it is sure.
 func (m *Membership) suspect(now time.Duration, r *record) {
-	if r.State != Alive {
+	if r.State != Alive || r.suspect {
 		return
 	}
-	suspected := r.Member
-	suspected.State = Suspect
-	m.set(now, r, suspected)
+	r.suspect = true
+	r.doubted = now
+	m.suspects = append(m.suspects, r.ID)
 }
 
-// expireMembers declares suspected members dead that did not refute in time, and forgets those that are long dead.
+// expireMembers declares suspected members dead that did not answer in time, and forgets those that are long dead.
 func (m *Membership) expireMembers(now time.Duration) {
-	m.dead = m.dead[:0]
-	m.suspects = m.suspects[:0]
-	for _, id := range slices.Clone(m.order) {
-		r := m.members[id]
-		switch {
-		case r.State == Suspect && now-r.since >= m.cfg.Suspicion:
-			dead := r.Member
-			dead.State = Dead
-			m.set(now, r, dead)
-		case r.State == Dead && !r.listed && now-r.since >= m.cfg.Forget:
-			m.forget(id)
-			continue
+	m.suspects = slices.DeleteFunc(m.suspects, func(id model.HostID) bool {
+		r, ok := m.members[id]
+		if !ok || !r.suspect {
+			return true
 		}
-		switch r.State {
-		case Dead:
-			m.dead = append(m.dead, id)
-		case Suspect:
-			m.suspects = append(m.suspects, id)
+		if now-r.doubted < m.cfg.Suspicion {
+			return false
 		}
-	}
+		dead := r.Member
+		dead.State = Dead
+		m.set(now, r, dead)
+		return true
+	})
+	m.dead = slices.DeleteFunc(m.dead, func(id model.HostID) bool {
+		r, ok := m.members[id]
+		if !ok || r.State != Dead {
+			return true
+		}
+		if !r.listed && now-r.since >= m.cfg.Forget {
+			m.forget(id)
+			return true
+		}
+		return false
+	})
 }
 
 // HandleProbe answers a probe.
 func (m *Membership) HandleProbe(now time.Duration, probe Probe) Ack {
 	m.Merge(now, probe.About)
+	m.hear(probe.From)
 	m.Merge(now, probe.From)
 	m.mergeAll(now, probe.Updates)
 	return Ack{From: m.self, Updates: m.updates()}
@@ -208,10 +220,18 @@
 
 // answered ends the probes of a member that gave a sign of life.
 func (m *Membership) answered(now time.Duration, member Member) {
+	m.hear(member)
 	m.pending = slices.DeleteFunc(m.pending, func(p probing) bool { return p.target == member.ID })
 	m.Merge(now, member)
 }
 
+// hear ends the suspicion of a member that has spoken to this host.
+func (m *Membership) hear(member Member) {
+	if r, ok := m.members[member.ID]; ok && r.Incarnation <= member.Incarnation {
+		r.suspect = false
+	}
+}
+
 // maxRequesters bounds the hosts that wait for one indirect probe.
 const maxRequesters = 8
 
--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkFrame seals and opens one small frame, the cost that the transport adds to each frame at its two ends.
+func BenchmarkFrame(b *testing.B) {
+	c, err := newCodec([][]byte{bytes.Repeat([]byte("k"), 32)})
+	require.NoError(b, err)
+	body, err := Marshal(struct{ A, B uint64 }{1, 2})
+	require.NoError(b, err)
+	e := envelope{From: "host-00001", Incarnation: 1 << 60, Seq: 77, Kind: "pull", Body: body}
+	for b.Loop() {
+		frame, err := c.seal(e)
+		require.NoError(b, err)
+		_, err = c.open(frame[lengthBytes:])
+		require.NoError(b, err)
+	}
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -73,13 +73,28 @@
 	return c, nil
 }
 
+// Marshal returns the encoding of a body. Structs are arrays of their fields, because field names would double the size of
+// a small frame. So a field may only be added at the end of a struct; a receiver that does not know it ignores it.
+func Marshal(body any) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := encodeTo(&buffer, body)
+	return buffer.Bytes(), err
+}
+
+func encodeTo(buffer *bytes.Buffer, value any) error {
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	return encoder.Encode(value)
+}
+
 // seal returns the bytes of a frame.
 func (c *codec) seal(e envelope) ([]byte, error) {
 	var buffer bytes.Buffer
 	buffer.Write(make([]byte, lengthBytes+macBytes))
-	encoder := msgpack.NewEncoder(&buffer)
-	encoder.UseArrayEncodedStructs(true) // field names would double the size of a small frame
-	if err := encoder.Encode(&e); err != nil {
+	if err := encodeTo(&buffer, &e); err != nil {
 		return nil, fmt.Errorf("peer: frame of kind %s: %w", e.Kind, err)
 	}
 	frame := buffer.Bytes()
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -114,7 +114,7 @@
 
 func (in *inbound) reply(sequence uint64, kind Kind, body any) {
 	t := in.transport
-	raw, err := msgpack.Marshal(body)
+	raw, err := Marshal(body)
 	if err != nil {
 		t.logger.Error("reply to a peer", zap.Error(err))
 		return
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -195,7 +195,7 @@
 }
 
 func (t *FrameTransport) enqueue(address string, kind Kind, body any, waiting *call) error {
-	raw, err := msgpack.Marshal(body)
+	raw, err := Marshal(body)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
