Pass the reports about the store on in three bytes each

Change: a report takes three bytes instead of about 15; pulls are 150 ms apart only while the confirmation is 1.5 to 4 s old, and 250 ms apart in the rest of an outage; relays ask three others instead of four; a probe names what the sender holds of the receiver only if it does not take it for alive.

--- a/internal/configstate/state.go
+++ b/internal/configstate/state.go
@@ -29,17 +29,8 @@
 	// HeadUpdate and FleetUpdate are heads in JSON with what the puller lacks; empty if it lacks nothing.
 	HeadUpdate  []byte
 	FleetUpdate []byte
-	// Reports are sent only while some relay fails to reach the store.
-	Reports []ReportMessage
-}
-
-// ReportMessage is a Report with its age instead of a time.
-type ReportMessage struct {
-	DataCentre model.DataCentreID
-	Slot       uint8
-	Reach      Reach
-	Generation model.Generation
-	AgeMS      int64
+	// Reports are sent only while some relay fails to reach the store. A host of another generation can't read them.
+	Reports []byte
 }
 
 // State is the configuration of one host with what it knows about its freshness. Times are monotonic, since the start of
@@ -112,9 +103,7 @@
 	reply.HeadUpdate, errs[0] = updateFor(s.Catalogue, pull.Generation)
 	reply.FleetUpdate, errs[1] = updateFor(s.Fleet, pull.Fleet)
 	if s.Reports.Trouble(now) {
-		for _, r := range s.Reports.Active(now) {
-			reply.Reports = append(reply.Reports, ReportMessage{r.DataCentre, r.Slot, r.Reach, r.Generation, ceilMS(now - r.At)})
-		}
+		reply.Reports = encodeReports(s.Reports.Active(now), now, s.Catalogue.Document())
 	}
 	return reply, errors.Join(errs[0], errs[1])
 }
@@ -134,11 +123,12 @@
 // Take applies the reply to a pull that was sent at the time sent. The confirmation that the reply carries counts only if
 // the generations that it speaks of are in force here.
 func (s *State) Take(sent time.Duration, reply PullReply) error {
-	for _, r := range reply.Reports {
-		at := sent - time.Duration(r.AgeMS)*time.Millisecond
-		s.Reports.Put(Report{r.DataCentre, r.Slot, r.Reach, r.Generation, at})
-	}
 	err := errors.Join(offer(s.Catalogue, reply.HeadUpdate), offer(s.Fleet, reply.FleetUpdate))
+	if generation := s.Catalogue.Generation(); generation > 0 && generation == reply.Generation {
+		for _, report := range decodeReports(reply.Reports, sent, s.Catalogue.Document()) {
+			s.Reports.Put(report)
+		}
+	}
 	current := s.Catalogue.Generation() >= reply.Generation && s.Fleet.Generation() >= reply.Fleet
 	if current && reply.AgeMS >= 0 {
 		s.confirm(sent - time.Duration(reply.AgeMS)*time.Millisecond)
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -41,6 +41,7 @@
 	*sim
 	b     *testing.B
 	isCut bool
+	down  bool // the store answers nobody
 }
 
 func (r *benchRun) inCut(h *simHost) bool { return r.isCut && h.self.Region == "region-0" }
@@ -51,7 +52,7 @@
 	r.measure = true
 	r.delay = benchDelay
 	r.cut = func(from, to *simHost) bool { return r.inCut(from) != r.inCut(to) }
-	r.storeFails = r.inCut
+	r.storeFails = func(h *simHost) bool { return r.down || r.inCut(h) }
 	centres := benchCentres(hosts)
 	r.accept(centreEdits(centres), true)
 	r.addHosts(hosts, centres, true)
@@ -101,8 +102,8 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// steady measures a time without changes.
-func (r *benchRun) steady(d time.Duration) {
+// steady measures a time without changes. The suffix names the metrics.
+func (r *benchRun) steady(d time.Duration, suffix string) {
 	for _, h := range r.hosts {
 		h.bytes, h.calls = 0, 0
 	}
@@ -125,11 +126,11 @@
 		calls += h.calls
 	}
 	hostSeconds := float64(len(r.hosts)) * d.Seconds()
-	r.b.ReportMetric(float64(bytes)/hostSeconds, "B/host/s")
-	r.b.ReportMetric(float64(most)/d.Seconds(), "B/s-max")
-	r.b.ReportMetric(used.Seconds()/hostSeconds*100, "%core/host")
-	r.b.ReportMetric(float64(calls)/d.Seconds(), "store-calls/s")
-	r.b.ReportMetric(float64(fenced)/float64(samples), "fenced")
+	r.b.ReportMetric(float64(bytes)/hostSeconds, "B/host/s"+suffix)
+	r.b.ReportMetric(float64(most)/d.Seconds(), "B/s-max"+suffix)
+	r.b.ReportMetric(used.Seconds()/hostSeconds*100, "%core/host"+suffix)
+	r.b.ReportMetric(float64(calls)/d.Seconds(), "store-calls/s"+suffix)
+	r.b.ReportMetric(float64(fenced)/float64(samples), "fenced"+suffix)
 }
 
 func heap() uint64 {
@@ -160,7 +161,7 @@
 	r := newBenchRun(b, hosts)
 	r.advance(10*time.Second, nil)
 	b.ReportMetric(float64(heap()-before)/float64(hosts)/1024, "KiB/host")
-	r.steady(10 * time.Second)
+	r.steady(10*time.Second, "")
 	var worstMost, worstAll time.Duration
 	for range 5 {
 		most, all := r.spread(everyHost)
@@ -169,6 +170,10 @@
 	}
 	b.ReportMetric(worstMost.Seconds(), "s-99.9%")
 	b.ReportMetric(worstAll.Seconds(), "s-100%")
+	r.down = true
+	r.steady(10*time.Second, "-outage")
+	r.down = false
+	r.advance(5*time.Second, nil)
 	r.isCut = true
 	r.advance(15*time.Second, nil)
 	_, outside := r.spread(func(h *simHost) bool { return !r.inCut(h) })
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -123,18 +123,18 @@
 
 // Status describes the control plane of this host for operators.
 type Status struct {
-	Generation  model.Generation            `json:"generation"`
-	Fleet       model.Generation            `json:"fleet_generation"`
-	Confirmed   bool                        `json:"confirmed"`
-	AgeMS       int64                       `json:"age_ms"`
-	Fenced      bool                        `json:"fenced"`
-	Superseded  bool                        `json:"superseded"`
-	RelaySlot   int                         `json:"relay_slot"` // -1 for a host that is no relay
-	Parents     []model.HostID              `json:"parents"`
-	StoreFailed int                         `json:"store_failures_in_a_row"`
-	Reports     []configstate.ReportMessage `json:"reports"`
-	Members     map[membership.State]int    `json:"members"`
-	Notices     int                         `json:"notices"`
+	Generation  model.Generation         `json:"generation"`
+	Fleet       model.Generation         `json:"fleet_generation"`
+	Confirmed   bool                     `json:"confirmed"`
+	AgeMS       int64                    `json:"age_ms"`
+	Fenced      bool                     `json:"fenced"`
+	Superseded  bool                     `json:"superseded"`
+	RelaySlot   int                      `json:"relay_slot"` // -1 for a host that is no relay
+	Parents     []model.HostID           `json:"parents"`
+	StoreFailed int                      `json:"store_failures_in_a_row"`
+	Reports     []configstate.Report     `json:"reports"` // the times are since the start of the process
+	Members     map[membership.State]int `json:"members"`
+	Notices     int                      `json:"notices"`
 	// NotApplied counts updates that could not be applied, Dropped events that found the ring of the loop full.
 	NotApplied uint64 `json:"not_applied"`
 	Dropped    uint64 `json:"dropped"`
@@ -167,11 +167,7 @@
 	for _, parent := range n.topology.parents {
 		s.Parents = append(s.Parents, parent.ID)
 	}
-	for _, r := range n.state.Reports.Active(now) {
-		s.Reports = append(s.Reports, configstate.ReportMessage{
-			DataCentre: r.DataCentre, Slot: r.Slot, Reach: r.Reach, Generation: r.Generation, AgeMS: (now - r.At).Milliseconds(),
-		})
-	}
+	s.Reports = n.state.Reports.Active(now)
 	for _, member := range n.members.Members() {
 		s.Members[member.State]++
 	}
--- a/internal/control/pulls.go
+++ b/internal/control/pulls.go
@@ -16,11 +16,15 @@
 	// does not fence the host.
 	hurriedInterval = 250 * time.Millisecond
 	hurriedAge      = 1700 * time.Millisecond
-	// outageInterval applies while some relay fails to reach the store: its report has to reach every host before the
-	// confirmation is 3 s old, and up to 2 s of that pass before the relay is sure.
-	outageInterval = 200 * time.Millisecond
+	// outageInterval applies while some relay fails to reach the store, so that reports are passed on while they count.
+	outageInterval = 250 * time.Millisecond
+	// onsetInterval applies in an outage until the host relies on the reports: they have to reach every host before its
+	// confirmation is 3 s old, and up to 2 s of that pass before a relay is sure.
+	onsetInterval = 150 * time.Millisecond
+	onsetFrom     = 1500 * time.Millisecond
+	onsetUntil    = 4 * time.Second
 	// outageRelays is the number of other relays that a relay without the store asks at once.
-	outageRelays = 4
+	outageRelays = 3
 	// maxSegmentCalls bounds the segments asked for at once.
 	maxSegmentCalls = 4
 	segmentTimeout  = 2 * time.Second
@@ -70,10 +74,14 @@
 }
 
 func (n *node) pullIntervalAt(now time.Duration) time.Duration {
+	age, ok := n.state.Age(now)
 	if n.state.Reports.Trouble(now) {
+		if age >= onsetFrom && age < onsetUntil {
+			return onsetInterval
+		}
 		return outageInterval
 	}
-	if age, ok := n.state.Age(now); !ok || age > hurriedAge || n.state.Behind() {
+	if !ok || age > hurriedAge || n.state.Behind() {
 		return hurriedInterval
 	}
 	return pullInterval
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,8 +48,8 @@
 // Probe asks a member for a sign of life.
 type Probe struct {
 	From Member
-	// About is what the sender holds of the receiver. The receiver refutes it if it is not alive in it.
-	About   Member
+	// About is what the sender holds of the receiver if it does not take it for alive. The receiver refutes it.
+	About   *Member
 	Updates []Member
 }
 
--- a/internal/membership/probing.go
+++ b/internal/membership/probing.go
@@ -108,7 +108,12 @@
 }
 
 func (m *Membership) probe(r *record) Message {
-	return Message{To: r.ID, Address: r.Address, Probe: &Probe{From: m.self, About: r.Member, Updates: m.updates()}}
+	probe := &Probe{From: m.self, Updates: m.updates()}
+	if r.State != Alive {
+		about := r.Member
+		probe.About = &about
+	}
+	return Message{To: r.ID, Address: r.Address, Probe: probe}
 }
 
 // expireProbes asks others to probe the members that did not answer, and suspects those that did not answer them either.
@@ -182,7 +187,9 @@
 
 // HandleProbe answers a probe.
 func (m *Membership) HandleProbe(now time.Duration, probe Probe) Ack {
-	m.Merge(now, probe.About)
+	if probe.About != nil {
+		m.Merge(now, *probe.About)
+	}
 	m.hear(probe.From)
 	m.Merge(now, probe.From)
 	m.mergeAll(now, probe.Updates)
