Drive queries with the state machine, and explain them afterwards

Cause: the engine was the naive version: one attempt per shard at a random replica, no hedge, retry, cancellation, token, limit or record.

Ruled out: the cancellation of an attempt's context as the only cancel; a client that returns then frees the slot before the target has. A cancel that is sent once; it may overtake its attempt (the slot then stays busy until the deadline), so it is sent again after 20 ms. A hedge budget without reserve; hedging at the 95th percentile asks for 5 % of the attempts, the whole budget, and an attempt that is stuck found it empty.

Attempts outlast their query; their place is given back at their own end. After version_gone the target's report is asked for at once. Optional observer of attempts (failure, incarnations, fingerprint), suspect queries run alone, and Explain tells the last 512 queries; it is wired to the operator listener. The caller API takes mode, soft deadline and tokens, and refuses values out of range. The inventory tells when the layout of the targets changes.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -27,28 +27,21 @@
 // Earn adds the share of one first attempt.
 func (b *Bucket) Earn() { b.tokens = min(b.cfg.Burst, b.tokens+b.cfg.Share) }
 
-// CanSpend tells whether one extra attempt is within the budget.
-func (b *Bucket) CanSpend() bool { return b.tokens >= 1 }
-
-// Spend takes the right to one extra attempt, if there is one.
-func (b *Bucket) Spend() bool {
-	if !b.CanSpend() {
-		return false
-	}
-	b.tokens--
-	return true
-}
+// CanSpend tells whether one extra attempt is within the budget and leaves the reserve.
+func (b *Bucket) CanSpend(reserve float64) bool { return b.tokens >= 1+reserve }
 
 // Refund gives back the right to an extra attempt that was not sent.
 func (b *Bucket) Refund() { b.tokens = min(b.cfg.Burst, b.tokens+1) }
 
-// Spend takes the right to one extra attempt from both buckets or from neither. While queues form there is none, because
-// extra attempts would lengthen them.
-func Spend(group, caller *Bucket, queueing bool) bool {
-	if queueing || !group.CanSpend() || !caller.CanSpend() {
+// Spend takes the right to one extra attempt from both buckets or from neither, and leaves the reserve in both. While
+// queues form there is none, because extra attempts would lengthen them.
+func Spend(group, caller *Bucket, reserve float64, queueing bool) bool {
+	if queueing || !group.CanSpend(reserve) || !caller.CanSpend(reserve) {
 		return false
 	}
-	return group.Spend() && caller.Spend()
+	group.tokens--
+	caller.tokens--
+	return true
 }
 
 // Backoff describes the waits between retries.
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -20,6 +20,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
+	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 )
 
 // SearchRequest is the body of POST /v1/search.
@@ -114,16 +115,27 @@
 			"ask the operators to grant the search", "caller %s may not use search %q", caller.ID, request.Search)
 	}
 	result, err := a.searcher.Search(r.Context(), catalogue, query.Request{
-		Search:      request.Search,
-		Query:       request.Query,
-		Limit:       request.Limit,
-		Deadline:    time.Duration(request.DeadlineMS) * time.Millisecond,
-		MinCoverage: request.MinCoverage,
+		Caller:       caller.ID,
+		Search:       request.Search,
+		Query:        request.Query,
+		Limit:        request.Limit,
+		Deadline:     time.Duration(request.DeadlineMS) * time.Millisecond,
+		SoftDeadline: time.Duration(request.SoftDeadlineMS) * time.Millisecond,
+		MinCoverage:  request.MinCoverage,
+		Mode:         scatter.Mode(request.Mode),
+		Snapshot:     request.Snapshot,
+		MinSnapshot:  request.MinSnapshot,
 	})
 	if err != nil {
 		return SearchReply{}, err
 	}
-	return SearchReply{Versions: result.Versions, Coverage: result.Coverage, Hits: result.Hits}, nil
+	return SearchReply{
+		QueryID:  result.QueryID,
+		Snapshot: result.Snapshot,
+		Versions: result.Versions,
+		Coverage: result.Coverage,
+		Hits:     result.Hits,
+	}, nil
 }
 
 // authenticate finds the catalogue entry whose token the request bears.
@@ -159,6 +171,22 @@
 		return request, fault.New(fault.BadRequest, fault.NotRun,
 			"send deadline_ms from 1 to 10000", "deadline_ms is %d", request.DeadlineMS)
 	}
+	if request.SoftDeadlineMS < 0 || request.SoftDeadlineMS > request.DeadlineMS {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send soft_deadline_ms from 0 to deadline_ms", "soft_deadline_ms is %d", request.SoftDeadlineMS)
+	}
+	if request.MinCoverage < 0 || request.MinCoverage > 1 {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send min_coverage from 0 to 1", "min_coverage is %g", request.MinCoverage)
+	}
+	if !slices.Contains([]scatter.Mode{"", scatter.Fast, scatter.Full}, scatter.Mode(request.Mode)) {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			`send mode "fast" or "full"`, "mode is %q", request.Mode)
+	}
+	if request.Snapshot != "" && request.MinSnapshot != "" {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send snapshot or min_snapshot, not both", "both snapshot and min_snapshot are given")
+	}
 	if request.Limit <= 0 || request.Limit > model.MaxResultLimit {
 		return request, fault.New(fault.BadRequest, fault.NotRun,
 			"send limit from 1 to 1000", "limit is %d", request.Limit)
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -3,15 +3,18 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
 // Inventory holds the last report of each target. It is safe for concurrent use.
 type Inventory struct {
-	mu      sync.RWMutex
-	reports map[model.TargetID]model.TargetStatus
+	mu       sync.RWMutex
+	reports  map[model.TargetID]model.TargetStatus
+	revision atomic.Uint64
 }
 
 // New returns an empty inventory.
@@ -23,10 +26,26 @@
 func (v *Inventory) Put(status model.TargetStatus) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.reports[status.Target].Incarnation > status.Incarnation {
+	last, known := v.reports[status.Target]
+	if last.Incarnation > status.Incarnation {
 		return
 	}
 	v.reports[status.Target] = status
+	if !known || !sameLayout(last, status) {
+		v.revision.Add(1)
+	}
+}
+
+// Revision returns a number that grows whenever a report changes what a target holds or the state that it is in. Load
+// alone does not change it.
+func (v *Inventory) Revision() uint64 { return v.revision.Load() }
+
+func sameLayout(a, b model.TargetStatus) bool {
+	return a.Incarnation == b.Incarnation && a.State == b.State && slices.EqualFunc(a.Indexes, b.Indexes, sameIndex)
+}
+
+func sameIndex(a, b model.IndexStatus) bool {
+	return a.Index == b.Index && a.Version == b.Version && slices.Equal(a.ShardMap, b.ShardMap) && slices.Equal(a.Held, b.Held)
 }
 
 // Get returns the last report of a target.
--- /dev/null
+++ b/internal/query/engine_test.go
@@ -0,0 +1,278 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/gate"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/target"
+)
+
+// TestTokenRepeatsAnswer guards against a repeated stock query with another result, and against a pinned query that reads
+// another version once its own is gone.
+func TestTokenRepeatsAnswer(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		first := w.search(t, request())
+		w.publish("a", firstVer+1, groups, true)
+		w.poll()
+		pinned := request()
+		pinned.Snapshot = first.Snapshot
+		again := w.search(t, pinned)
+		require.Equal(t, first.Hits, again.Hits)
+		require.Equal(t, first.Versions, again.Versions)
+		newer := w.search(t, request())
+		require.EqualValues(t, firstVer+1, newer.Versions["a"])
+		floor := request()
+		floor.MinSnapshot = newer.Snapshot
+		require.Equal(t, newer.Versions, w.search(t, floor).Versions)
+		w.publish("a", firstVer+2, groups, false)
+		w.poll()
+		_, err := w.engine.Search(context.Background(), w.catalogue, pinned)
+		require.True(t, fault.IsKind(err, fault.SnapshotGone), "%v", err)
+		require.Equal(t, fault.NotRun, fault.As(err).Execution)
+	})
+}
+
+// TestRestartAtNewerSnapshot guards against a partial answer when every target has moved on to a new version.
+func TestRestartAtNewerSnapshot(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		w.search(t, request())
+		w.publish("a", firstVer+1, groups+1, false) // the reports still name the old version
+		result := w.search(t, request())
+		require.EqualValues(t, firstVer+1, result.Versions["a"])
+		require.EqualValues(t, 1, result.Coverage.Fraction)
+		require.NoError(t, honest(result, request().Limit))
+	})
+}
+
+// TestCoverageBelowMinimum guards against a refusal that hides the coverage, or claims that nothing ran (P6).
+func TestCoverageBelowMinimum(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for r := range replicas {
+			w.targets[model.TargetID("a-0-"+string(rune('0'+r)))].SetState(model.TargetDraining)
+		}
+		r := request()
+		r.MinCoverage = 1
+		_, err := w.engine.Search(context.Background(), w.catalogue, r)
+		require.True(t, fault.IsKind(err, fault.CoverageBelowMinimum), "%v", err)
+		require.Equal(t, fault.Ran, fault.As(err).Execution)
+		require.InDelta(t, 0.875, *fault.As(err).Coverage, 0.001)
+		for _, id := range w.catalogue.Targets {
+			w.targets[id.ID].SetState(model.TargetDraining)
+		}
+		_, err = w.engine.Search(context.Background(), w.catalogue, r)
+		require.Equal(t, fault.NotRun, fault.As(err).Execution, "%v", err)
+	})
+}
+
+// TestHedgeCoversSilentAttempt guards against a query that waits for its deadline because one attempt got no answer.
+func TestHedgeCoversSilentAttempt(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for i := range 400 {
+			if i%20 == 0 {
+				silent := w.catalogue.Targets[i/20*7%len(w.targets)] // the hits spread over the groups
+				w.targets[silent.ID].Inject(target.FaultSilent, 1)
+			}
+			started := time.Now()
+			require.EqualValues(t, 1, w.search(t, request()).Coverage.Fraction, "query %d", i)
+			require.Less(t, time.Since(started), 60*ms)
+		}
+		w.engine.Wait()
+	})
+}
+
+// TestStragglerStaysWithinBudget guards against a tail as long as the straggler's latency, and against more than 5 % of
+// extra attempts.
+func TestStragglerStaysWithinBudget(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		w.targets["a-1-0"].SetSlowdown(10)
+		w.targets["b-2-1"].SetSlowdown(10)
+		const queries = 600
+		var latencies []time.Duration
+		for range queries {
+			started := time.Now()
+			require.EqualValues(t, 1, w.search(t, request()).Coverage.Fraction)
+			latencies = append(latencies, time.Since(started))
+		}
+		w.engine.Wait()
+		slices.Sort(latencies)
+		extra := float64(len(w.records()))/(queries*2*groups) - 1
+		t.Logf("p50 %v, p99 %v, extra load %.4f", latencies[queries/2], latencies[queries*99/100], extra)
+		require.Less(t, latencies[queries*99/100], 25*ms)
+		require.LessOrEqual(t, extra, 0.06, "5 % and the first burst")
+	})
+}
+
+// observer keeps what it is told.
+type observer struct {
+	mu     sync.Mutex
+	starts []AttemptStart
+	ends   []AttemptEnd
+}
+
+func (o *observer) AttemptStarted(s AttemptStart) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.starts = append(o.starts, s)
+}
+
+func (o *observer) AttemptEnded(e AttemptEnd) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ends = append(o.ends, e)
+}
+
+// TestSuspectCrashesOneTarget guards against a request that crashes targets and is sent to more than one of them while it
+// runs alone; the observer learns of its end.
+func TestSuspectCrashesOneTarget(t *testing.T) {
+	o := &observer{}
+	inWorld(t, func(c *Config) { c.Observer = o }, func(w *world) {
+		for _, x := range w.targets {
+			x.SetPoison("poison")
+		}
+		r := request()
+		r.Query = json.RawMessage(`{"text":"poison"}`)
+		r.Suspect = true
+		w.search(t, r)
+		w.engine.Wait()
+		crashes := 0
+		for _, x := range w.targets {
+			crashes += x.Crashes()
+		}
+		require.Equal(t, 1, crashes)
+		require.Len(t, o.ends, 1)
+		require.Equal(t, scatter.FailedLost, o.ends[0].Failure)
+		require.Equal(t, r.Fingerprint(), o.ends[0].Fingerprint)
+		require.EqualValues(t, 1, o.ends[0].Incarnation)
+		time.Sleep(2 * time.Second)
+		w.poll()
+		r.Query = json.RawMessage(`{"text":""}`)
+		require.EqualValues(t, 1, w.search(t, r).Coverage.Fraction, "an innocent suspect gets its whole answer")
+	})
+}
+
+// TestCrashingRequestIsNotSentOn guards against hedges and retries of a request that has lost a target: it reaches at
+// most one target of each shard.
+func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for _, x := range w.targets {
+			x.SetPoison("poison")
+		}
+		r := request()
+		r.Query = json.RawMessage(`{"text":"poison"}`)
+		w.search(t, r)
+		w.engine.Wait()
+		require.LessOrEqual(t, len(w.records()), 2*groups)
+	})
+}
+
+// countingGate refuses one target and counts places that were not given back.
+type countingGate struct {
+	mu      sync.Mutex
+	refused model.TargetID
+	taken   map[model.TargetID]int
+	results map[gate.Result]int
+}
+
+func (g *countingGate) Eligible(model.TargetID) bool { return true }
+func (g *countingGate) Warm(model.TargetID) bool     { return true }
+
+func (g *countingGate) Acquire(id model.TargetID, _ time.Time) (gate.Release, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id == g.refused {
+		return nil, false
+	}
+	g.taken[id]++
+	return func(o gate.Outcome) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.taken[id]--
+		g.results[o.Result]++
+	}, true
+}
+
+// TestPlaceIsHeldUntilOwnReply guards against a slot that counts as free while its cancelled attempt still runs, against
+// one that is never given back, and against work for a target that the gate refuses.
+func TestPlaceIsHeldUntilOwnReply(t *testing.T) {
+	g := &countingGate{refused: "a-0-0", taken: map[model.TargetID]int{}, results: map[gate.Result]int{}}
+	inWorld(t, func(c *Config) { c.Gate = g }, func(w *world) {
+		w.targets["a-1-0"].SetSlowdown(10)
+		for range 100 {
+			result := w.search(t, request())
+			require.EqualValues(t, 1, result.Coverage.Fraction)
+			for id, x := range w.targets {
+				g.mu.Lock()
+				require.GreaterOrEqual(t, g.taken[id], x.Status().InFlight, "%s", id)
+				g.mu.Unlock()
+			}
+		}
+		w.engine.Wait()
+		for id, taken := range g.taken {
+			require.Zero(t, taken, id)
+		}
+		require.Empty(t, w.targets["a-0-0"].Records())
+		require.Positive(t, g.results[gate.Cancelled])
+	})
+}
+
+// TestExplainTellsAttemptsAndRefusals guards against a query whose course cannot be told afterwards.
+func TestExplainTellsAttemptsAndRefusals(t *testing.T) {
+	g := &countingGate{refused: "a-0-0", taken: map[model.TargetID]int{}, results: map[gate.Result]int{}}
+	inWorld(t, func(c *Config) { c.Gate = g }, func(w *world) {
+		w.targets["b-0-0"].Inject(target.FaultCrossed, 9)
+		w.targets["b-0-1"].Inject(target.FaultCrossed, 9)
+		w.targets["b-0-2"].Inject(target.FaultCrossed, 9)
+		result := w.search(t, request())
+		w.engine.Wait()
+		explained, ok := w.engine.Explain(result.QueryID)
+		require.True(t, ok)
+		record := explained.(*Record)
+		require.Equal(t, result.Coverage, *record.Coverage)
+		require.GreaterOrEqual(t, len(record.Attempts), 2*groups)
+		require.Positive(t, record.Retries)
+		mismatches := 0
+		for _, a := range record.Attempts {
+			require.Positive(t, a.Ended)
+			if a.Failure == scatter.FailedMismatch {
+				mismatches++
+			}
+		}
+		require.Positive(t, mismatches)
+		require.NotEmpty(t, record.Refusals)
+		_, err := json.Marshal(explained)
+		require.NoError(t, err)
+		for range recordedQueries {
+			w.search(t, request())
+		}
+		_, ok = w.engine.Explain(result.QueryID)
+		require.False(t, ok, "the record of queries is not bounded")
+	})
+}
+
+// TestCallerThatLeavesCancelsItsAttempts guards against slots that stay busy for a caller that has gone, also if a cancel
+// request overtakes its attempt: the hedges leave at the same moment as the caller.
+func TestCallerThatLeavesCancelsItsAttempts(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for _, x := range w.targets {
+			x.SetSlowdown(20)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		time.AfterFunc(10*ms, stop)
+		started := time.Now()
+		_, err := w.engine.Search(ctx, w.catalogue, request())
+		require.Equal(t, fault.OutcomeUnknown, fault.As(err).Execution)
+		require.Equal(t, 10*ms, time.Since(started))
+		w.engine.Wait()
+		require.LessOrEqual(t, time.Since(started), 35*ms)
+	})
+}
--- /dev/null
+++ b/internal/query/picker.go
@@ -0,0 +1,240 @@
+package query
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/budget"
+	"github.com/knapweedrouter/knapweedrouter/internal/gate"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/replica"
+	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
+	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
+)
+
+const (
+	// extraShare is the share of hedges and retries in steady state.
+	extraShare  = 0.05
+	groupBurst  = 4
+	callerBurst = 10
+	// hedgeReserve is the part of a budget that hedges of the usual tail leave to late hedges and retries. Hedging at
+	// the 95th percentile asks for 5 % of the attempts, which is the whole budget.
+	hedgeReserve = 2
+	// maxPerSlot times a target's slots is the most that this host ever has in flight there. A target queues two
+	// attempts per slot and sheds more.
+	maxPerSlot = 3
+	// firstHedgeDelay applies until latencies are known; minHedgeDelay keeps clock noise from causing hedges.
+	firstHedgeDelay = 10 * time.Millisecond
+	minHedgeDelay   = time.Millisecond
+	// crowdedTime is the time for which one refusal counts as a sign of queues.
+	crowdedTime = 100 * time.Millisecond
+)
+
+var retryBackoff = budget.Backoff{Base: 2 * time.Millisecond, Max: 20 * time.Millisecond}
+
+// picker supplies one query with the engine's decisions. It implements scatter.Picker and belongs to the goroutine of
+// the query.
+type picker struct {
+	engine   *Engine
+	view     *view
+	search   model.SearchID
+	caller   *callerState
+	callerID model.CallerID
+	deadline time.Time
+	rng      *rand.Rand
+	record   *Record
+	// releases are those of the targets picked whose attempts have not been sent yet, in order.
+	releases []gate.Release
+
+	candidates []replica.Candidate
+	targets    []*targetState
+	p95        []time.Duration
+}
+
+var _ scatter.Picker = (*picker)(nil)
+
+// Pick implements scatter.Picker.
+func (p *picker) Pick(now time.Duration, part *snapshot.Part, kind scatter.Kind, exclude []model.TargetID) (model.TargetID, scatter.Verdict) {
+	p.gather(now, part, exclude)
+	if len(p.targets) == 0 {
+		return "", scatter.NoTarget
+	}
+	g := p.targets[0].group
+	if kind.Extra() && !p.spend(g, kind, now) {
+		p.record.refuse(now, part, "", refusedBudget)
+		return "", scatter.NoBudget
+	}
+	for {
+		at := replica.Choose(p.rng, p.candidates)
+		if at < 0 {
+			p.refund(g, kind)
+			return "", scatter.NoTarget
+		}
+		if p.acquire(now, part, p.targets[at]) {
+			p.earn(g, kind)
+			return p.targets[at].ID, scatter.Picked
+		}
+		p.targets = slices.Delete(p.targets, at, at+1)
+		p.candidates = slices.Delete(p.candidates, at, at+1)
+	}
+}
+
+// gather collects the replicas that may get the attempt.
+func (p *picker) gather(now time.Duration, part *snapshot.Part, exclude []model.TargetID) {
+	p.targets, p.candidates = p.targets[:0], p.candidates[:0]
+	for _, id := range part.Replicas {
+		t := p.view.targets[id]
+		if t == nil || slices.Contains(exclude, id) {
+			continue
+		}
+		t.mu.Lock()
+		candidate := t.evidence.Candidate(now, t.group.median(now))
+		full := t.evidence.InFlight() >= t.limiter.Limit()
+		t.mu.Unlock()
+		if full {
+			t.group.crowd(now)
+			p.record.refuse(now, part, id, refusedLimit)
+			continue
+		}
+		if g := p.engine.cfg.Gate; g != nil && !g.Warm(id) {
+			candidate.Avoid = true
+		}
+		p.targets = append(p.targets, t)
+		p.candidates = append(p.candidates, candidate)
+	}
+}
+
+// acquire takes a place at the target.
+func (p *picker) acquire(now time.Duration, part *snapshot.Part, t *targetState) bool {
+	t.mu.Lock()
+	full := t.evidence.InFlight() >= t.limiter.Limit() // another query may have come first
+	if !full {
+		t.evidence.Start()
+	}
+	t.mu.Unlock()
+	if full {
+		p.record.refuse(now, part, t.ID, refusedLimit)
+		return false
+	}
+	g := p.engine.cfg.Gate
+	if g == nil {
+		p.releases = append(p.releases, nil)
+		return true
+	}
+	release, ok := g.Acquire(t.ID, p.deadline)
+	if !ok {
+		t.mu.Lock()
+		t.evidence.Forget()
+		t.mu.Unlock()
+		p.record.refuse(now, part, t.ID, refusedGate)
+		return false
+	}
+	p.releases = append(p.releases, release)
+	return true
+}
+
+// takeRelease returns the release of the next attempt to be sent. The machine sends in the order in which it picks.
+func (p *picker) takeRelease() gate.Release {
+	release := p.releases[0]
+	p.releases = p.releases[1:]
+	if len(p.releases) == 0 {
+		p.releases = nil
+	}
+	return release
+}
+
+// spend takes the right to one extra attempt from the group, the caller and the caller's cost limit.
+func (p *picker) spend(g *group, kind scatter.Kind, now time.Duration) bool {
+	reserve := 0.0
+	if kind == scatter.Hedge {
+		reserve = hedgeReserve
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.caller.mu.Lock()
+	defer p.caller.mu.Unlock()
+	if !budget.Spend(g.budget, p.caller.budget, reserve, now < g.crowded) {
+		return false
+	}
+	if limits := p.engine.cfg.Limits; limits != nil && !limits.Charge(p.callerID, 1) {
+		g.budget.Refund()
+		p.caller.budget.Refund()
+		return false
+	}
+	return true
+}
+
+func (p *picker) refund(g *group, kind scatter.Kind) {
+	if kind.Extra() {
+		g.mu.Lock()
+		g.budget.Refund()
+		g.mu.Unlock()
+		p.caller.mu.Lock()
+		p.caller.budget.Refund()
+		p.caller.mu.Unlock()
+	}
+}
+
+func (p *picker) earn(g *group, kind scatter.Kind) {
+	if kind == scatter.First {
+		g.mu.Lock()
+		g.budget.Earn()
+		g.mu.Unlock()
+		p.caller.mu.Lock()
+		p.caller.budget.Earn()
+		p.caller.mu.Unlock()
+	}
+}
+
+// HedgeDelay implements scatter.Picker.
+func (p *picker) HedgeDelay(part *snapshot.Part) time.Duration {
+	now := p.engine.now()
+	p.p95 = p.p95[:0]
+	var groupP95 time.Duration
+	for _, id := range part.Replicas {
+		t := p.view.targets[id]
+		if t == nil {
+			continue
+		}
+		t.mu.Lock()
+		p.p95 = append(p.p95, t.evidence.P95(now))
+		t.mu.Unlock()
+		if groupP95 == 0 {
+			groupP95 = t.group.p95(now)
+		}
+	}
+	return max(minHedgeDelay, replica.HedgeDelay(groupP95, p.p95, firstHedgeDelay))
+}
+
+// Backoff implements scatter.Picker.
+func (p *picker) Backoff(retry int) time.Duration { return retryBackoff.Wait(p.rng, retry) }
+
+// Newer implements scatter.Picker.
+func (p *picker) Newer(present snapshot.Snapshot) (snapshot.Snapshot, bool) {
+	p.view = p.engine.currentView(p.view.catalogue, p.engine.now())
+	directory, ok := p.view.directory(p.search)
+	if !ok {
+		return snapshot.Snapshot{}, false
+	}
+	return directory.Newer(present)
+}
+
+func (g *group) median(now time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sketch.Median(now)
+}
+
+func (g *group) p95(now time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sketch.P95(now)
+}
+
+// crowd notes a sign that queues form at the group.
+func (g *group) crowd(now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crowded = max(g.crowded, now+crowdedTime)
+}
--- /dev/null
+++ b/internal/query/world_test.go
@@ -0,0 +1,205 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
+	"github.com/knapweedrouter/knapweedrouter/internal/merge"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/corpus"
+	"github.com/knapweedrouter/knapweedrouter/internal/standin/target"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+const (
+	ms       = time.Millisecond
+	groups   = 4
+	replicas = 3
+	firstVer = 7
+)
+
+// world is a fleet of stand-ins with two indexes, and an engine in virtual time.
+type world struct {
+	catalogue *model.Catalogue
+	targets   map[model.TargetID]*target.Target
+	reports   *inventory.Inventory
+	client    *target.Client
+	engine    *Engine
+}
+
+func inWorld(t *testing.T, change func(*Config), check func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(change)
+		check(w)
+		w.engine.Wait()
+		time.Sleep(time.Minute) // lets the timers of the stand-ins run out
+	})
+}
+
+func newWorld(change func(*Config)) *world {
+	w := &world{
+		catalogue: &model.Catalogue{Searches: []model.Search{{ID: "all", Indexes: []model.IndexID{"a", "b"}}}},
+		targets:   map[model.TargetID]*target.Target{},
+		reports:   inventory.New(),
+	}
+	for _, index := range []model.IndexID{"a", "b"} {
+		described := model.Index{ID: index}
+		for g := range groups {
+			group := model.Group{ID: fmt.Sprint(g)}
+			for r := range replicas {
+				id := model.TargetID(fmt.Sprintf("%s-%d-%d", index, g, r))
+				w.addTarget(id)
+				group.Targets = append(group.Targets, id)
+			}
+			described.Groups = append(described.Groups, group)
+		}
+		w.catalogue.Indexes = append(w.catalogue.Indexes, described)
+		w.publish(index, firstVer, groups, false)
+	}
+	w.poll()
+	w.client = target.NewClient(w.targets, func(model.Target) time.Duration { return ms })
+	cfg := Config{
+		Client: w.client, Inventory: w.reports, Host: "h", Incarnation: 1, Keys: snapshot.Keys{[]byte("key")}, Seed: 1,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	w.engine = New(zap.NewNop(), cfg)
+	return w
+}
+
+func (w *world) addTarget(id model.TargetID) {
+	described := model.Target{ID: id, Slots: 4, ColdSlots: 1}
+	w.catalogue.Targets = append(w.catalogue.Targets, described)
+	w.targets[id] = target.New(target.Config{
+		Target: described, Incarnation: 1, ServiceTime: 4 * ms, Seed: uint64(len(w.targets)),
+	})
+}
+
+// publish gives all targets of an index a version that is divided into count shards. Shard n lies in group n modulo groups.
+func (w *world) publish(index model.IndexID, version model.Version, count int, keepOld bool) {
+	shards := corpus.EvenShardMap(count)
+	for id, t := range w.targets {
+		var group, number int
+		if _, err := fmt.Sscanf(string(id), string(index)+"-%d-%d", &group, &number); err != nil {
+			continue
+		}
+		held := target.IndexVersion{Index: index, Version: version, ShardMap: shards}
+		for n := range shards {
+			if n%groups == group {
+				held.Held = append(held.Held, shards[n].ID)
+			}
+		}
+		indexes := []target.IndexVersion{held}
+		if keepOld {
+			for _, old := range t.Status().Indexes {
+				indexes = append(indexes, target.IndexVersion{
+					Index: old.Index, Version: old.Version, ShardMap: old.ShardMap, Held: old.Held,
+				})
+			}
+		}
+		t.SetIndexes(indexes)
+	}
+}
+
+func (w *world) poll() {
+	for _, t := range w.targets {
+		w.reports.Put(t.Status())
+	}
+}
+
+func request() Request {
+	return Request{Caller: "c", Search: "all", Query: json.RawMessage(`{"text":""}`), Limit: 50, Deadline: 100 * ms}
+}
+
+func (w *world) search(t require.TestingT, r Request) Result {
+	result, err := w.engine.Search(context.Background(), w.catalogue, r)
+	require.NoError(t, err)
+	return result
+}
+
+// records returns the attempts that all targets have seen.
+func (w *world) records() []target.Record {
+	var all []target.Record
+	for _, t := range w.targets {
+		all = append(all, t.Records()...)
+	}
+	return all
+}
+
+// honest returns an error unless the answer's hits are exactly those of its versions in the key ranges that its coverage
+// says were answered.
+func honest(result Result, limit int) error {
+	var want [][]model.Hit
+	for _, index := range []model.IndexID{"a", "b"} {
+		documents := slices.Clone(corpus.Documents(index, result.Versions[index])) // the stand-ins share the original
+		documents = slices.DeleteFunc(documents, func(d corpus.Document) bool {
+			return slices.ContainsFunc(result.Coverage.Missing, func(p coverage.Part) bool {
+				return p.Index == index && d.Key >= p.Low && d.Key < p.High
+			})
+		})
+		want = append(want, corpus.Search(documents, model.KeyRange{High: model.KeySpace}, "", limit))
+	}
+	got, expected := result.Hits, merge.Top(want, limit)
+	if !slices.EqualFunc(got, expected, func(a, b model.Hit) bool {
+		return merge.Compare(a, b) == 0 && a.Fields["version"] == b.Fields["version"]
+	}) {
+		return fmt.Errorf("versions %v, coverage %g: %d hits that differ from the %d expected",
+			result.Versions, result.Coverage.Fraction, len(got), len(expected))
+	}
+	return nil
+}
+
+// naive answers from a random replica of each shard of the newest version, waits for all and accepts any reply.
+func (w *world) naive(rng *rand.Rand, r Request) Result {
+	client := target.NewClient(w.targets, func(model.Target) time.Duration { return ms })
+	client.Unchecked = true
+	var reports []model.TargetStatus
+	for _, report := range w.reports.All() {
+		reports = append(reports, report)
+	}
+	chosen := snapshot.New([]model.IndexID{"a", "b"}, reports).Choose()
+	replies := make([]*targetclient.SearchReply, len(chosen.Parts))
+	var wait conc.WaitGroup
+	for i, part := range chosen.Parts {
+		if len(part.Replicas) == 0 {
+			continue
+		}
+		id := part.Replicas[rng.IntN(len(part.Replicas))]
+		wait.Go(func() {
+			reply, err := client.Search(context.Background(), model.Target{ID: id}, targetclient.SearchRequest{
+				Attempt: model.AttemptID{Incarnation: 99, Sequence: uint64(i)}, Index: part.Index, Shard: part.ID,
+				Version: part.Version, Query: r.Query, Limit: r.Limit, DeadlineMS: r.Deadline.Milliseconds(),
+			})
+			if err == nil {
+				replies[i] = &reply
+			}
+		})
+	}
+	wait.Wait()
+	result := Result{Versions: chosen.Versions}
+	var lists [][]model.Hit
+	parts := make([]coverage.Part, len(chosen.Parts))
+	for i := range replies {
+		parts[i] = chosen.Parts[i].Part
+		if replies[i] != nil {
+			lists = append(lists, replies[i].Hits)
+		}
+	}
+	result.Coverage = coverage.Compute(parts, func(i int) bool { return replies[i] != nil })
+	result.Hits = merge.Top(lists, r.Limit)
+	return result
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -39,6 +39,9 @@
 	e.avoidUntil = now + avoidance
 }
 
+// Forget takes an attempt back that says nothing about the target's latency or health.
+func (e *Evidence) Forget() { e.inFlight-- }
+
 // InFlight returns the number of this host's attempts at the target.
 func (e *Evidence) InFlight() int { return e.inFlight }
 
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -77,8 +77,8 @@
 
 // postpone plans an attempt that could not be sent now for later.
 func (m *Machine) postpone(now time.Duration, p *part, what *snapshot.Part, kind Kind, verdict Verdict) {
-	if kind == Hedge {
-		m.plan(p, now+m.picker.HedgeDelay(what), Hedge)
+	if kind.beside() {
+		m.plan(p, now+m.picker.HedgeDelay(what), LateHedge)
 		return
 	}
 	if verdict == NoTarget {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -34,10 +34,16 @@
 	Retry Kind = "retry"
 	// Hedge runs beside an attempt that takes long. It needs budget.
 	Hedge Kind = "hedge"
+	// LateHedge is a hedge that the budget refused at its first time. It may use the reserve of the budget: hedges of
+	// the usual tail would otherwise leave nothing for an attempt that is stuck.
+	LateHedge Kind = "late_hedge"
 )
 
 // Extra tells whether the attempt adds load, so that it needs budget.
-func (k Kind) Extra() bool { return k == Retry || k == Hedge }
+func (k Kind) Extra() bool { return k == Retry || k.beside() }
+
+// beside tells whether the attempt runs beside another one.
+func (k Kind) beside() bool { return k == Hedge || k == LateHedge }
 
 // Attempt is one attempt at one part.
 type Attempt struct {
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -117,7 +117,7 @@
 		Host:      s.settings.HostID,
 		View:      ownView{s},
 		History:   noHistory{},
-		Explainer: noExplainer{},
+		Explainer: s.engine,
 		Peers:     noPeers{},
 		Own:       s.configurationStatus,
 	})
@@ -195,10 +195,6 @@
 
 func (noHistory) Changes() []change.Accepted { return []change.Accepted{} }
 
-type noExplainer struct{}
-
-func (noExplainer) Explain(string) (any, bool) { return nil, false }
-
 type noPeers struct{}
 
 func (noPeers) Call(context.Context, string, peer.Kind, any, any) error {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -69,7 +69,7 @@
 		settings:  s,
 		ports:     ports,
 		inventory: reports,
-		engine:    query.New(ports.Targets, reports, incarnation),
+		engine:    newEngine(logger, s, ports, reports, incarnation),
 		operator:  newOperatorState(incarnation),
 	}
 }
@@ -107,6 +107,7 @@
 	err = httpServer.Serve(listener)
 	cancel()
 	duties.Wait()
+	s.engine.Wait()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/targetclient/exchange.go
+++ b/internal/targetclient/exchange.go
@@ -35,7 +35,7 @@
 		return received{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	x.connection, err = x.pool.acquire(ctx, x.deadline, x.control)
+	x.connection, err = x.pool.acquire(ctx, x.deadline, x.control, x.attempt)
 	if err != nil {
 		return received{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
--- a/internal/targetclient/http.go
+++ b/internal/targetclient/http.go
@@ -123,8 +123,11 @@
 	return reply, nil
 }
 
-// Cancel implements TargetClient.
+// Cancel implements TargetClient. An attempt that still waits for a connection returns ErrNotSent.
 func (h *HTTP) Cancel(ctx context.Context, target model.Target, attempt model.AttemptID) error {
+	if h.pool(target).cancelWaiting(attempt) {
+		return nil
+	}
 	body, err := json.Marshal(wire.Cancel{Attempt: attempt.String()})
 	if err != nil {
 		return err
--- a/internal/targetclient/http_test.go
+++ b/internal/targetclient/http_test.go
@@ -202,6 +202,21 @@
 	})
 }
 
+// TestCancelOfWaitingAttempt guards against work that is sent although it was cancelled while it waited for a connection.
+func TestCancelOfWaitingAttempt(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		client.SetLimit(f.Target, 1)
+		go parallel(f, 1)
+		synctest.Wait()
+		time.AfterFunc(time.Millisecond, func() {
+			_ = client.Cancel(context.Background(), f.Target, model.AttemptID{Incarnation: 9, Sequence: 2})
+		})
+		id, err := f.Execute(context.Background())
+		require.ErrorIs(t, err, targetclient.ErrNotSent)
+		require.EqualValues(t, 2, id.Sequence)
+	})
+}
+
 // TestUnexpectedBytesRetireConnection guards against a late reply that is taken for the reply to the next request.
 func TestUnexpectedBytesRetireConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/wire"
 )
 
@@ -47,6 +48,7 @@
 // waiter is a request that waits for a connection. got has room for one result.
 type waiter struct {
 	control bool
+	attempt model.AttemptID
 	got     chan acquired
 }
 
@@ -60,8 +62,8 @@
 func (p *pool) attemptLimit() int { return max(1, p.limit-1) }
 
 // acquire returns a connection for one request. Every error means that nothing was sent.
-func (p *pool) acquire(ctx context.Context, until time.Time, control bool) (*connection, error) {
-	w := &waiter{control: control, got: make(chan acquired, 1)}
+func (p *pool) acquire(ctx context.Context, until time.Time, control bool, attempt model.AttemptID) (*connection, error) {
+	w := &waiter{control: control, attempt: attempt, got: make(chan acquired, 1)}
 	if err := p.enqueue(w); err != nil {
 		return nil, err
 	}
@@ -107,6 +109,19 @@
 	return cause
 }
 
+// cancelWaiting refuses an attempt that still waits for a connection. It tells whether there was one.
+func (p *pool) cancelWaiting(attempt model.AttemptID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := slices.IndexFunc(p.waiters, func(w *waiter) bool { return !w.control && w.attempt == attempt })
+	if at < 0 {
+		return false
+	}
+	p.waiters[at].got <- acquired{err: ErrCancelled}
+	p.waiters = slices.Delete(p.waiters, at, at+1)
+	return true
+}
+
 // dispatch hands idle connections to waiters and opens new ones for the rest. The caller holds the mutex.
 func (p *pool) dispatch() {
 	unserved := 0
