--- a/internal/cli/checkconfig.go
+++ b/internal/cli/checkconfig.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
 	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 	"github.com/knapweedrouter/knapweedrouter/internal/strictjson"
 )
@@ -91,7 +92,8 @@
 
 func checkCatalogue(content []byte) strictjson.Faults {
 	var catalogue model.Catalogue
-	return strictjson.Decode(content, &catalogue)
+	form := strictjson.Decode(content, &catalogue)
+	return strictjson.Merge(form, operatorwire.FromViolations(catalogue.Validate()))
 }
 
 // unknownDocument reports a document that is broken, or that has no field of either form.
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -51,6 +51,8 @@
 	release gate.Release
 	start   AttemptStart
 	started time.Duration
+	// recorded is the attempt's position in the record of the query.
+	recorded int
 	// ended is closed when the attempt's own end has come.
 	ended chan struct{}
 }
@@ -77,7 +79,7 @@
 		},
 		start: AttemptStart{Attempt: id, Target: t.ID, Caller: q.request.Caller, Fingerprint: q.fingerprint},
 	}
-	q.record.send(now, action, id)
+	a.recorded = q.record.send(action, id)
 	return a
 }
 
@@ -98,7 +100,7 @@
 	close(a.ended)
 	now := q.engine.now()
 	a.learn(now, failure, reply.Incarnation)
-	q.record.end(now, a.number, failure)
+	q.record.end(a.recorded, failure)
 	if observer != nil {
 		observer.AttemptEnded(AttemptEnd{AttemptStart: a.start, Failure: failure, ReplyIncarnation: reply.Incarnation})
 	}
@@ -142,7 +144,7 @@
 
 // cancel asks the target to stop the attempt. The place at the target is free when the attempt's own reply arrives.
 func (a *attempt) cancel() {
-	a.query.record.cancelled(a.number)
+	a.query.record.cancelled(a.recorded)
 	a.query.engine.tasks.Go(func() {
 		a.sendCancel()
 		// A cancel request that overtakes its attempt finds nothing to stop, so it is sent once more.
--- a/internal/query/picker.go
+++ b/internal/query/picker.go
@@ -43,7 +43,7 @@
 	callerID model.CallerID
 	deadline time.Time
 	rng      *rand.Rand
-	record   *Record
+	record   record
 	// releases are those of the targets picked whose attempts have not been sent yet, in order.
 	releases []gate.Release
 
@@ -56,13 +56,13 @@
 
 // Pick implements scatter.Picker.
 func (p *picker) Pick(now time.Duration, part *snapshot.Part, kind scatter.Kind, exclude []model.TargetID) (model.TargetID, scatter.Verdict) {
-	p.gather(now, part, exclude)
+	p.gather(now, part, kind, exclude)
 	if len(p.targets) == 0 {
 		return "", scatter.NoTarget
 	}
 	g := p.targets[0].group
 	if kind.Extra() && !p.spend(g, kind, now) {
-		p.record.refuse(now, part, "", refusedBudget)
+		p.record.refuse(part, "", kind, refusedBudget)
 		return "", scatter.NoBudget
 	}
 	for {
@@ -71,7 +71,7 @@
 			p.refund(g, kind)
 			return "", scatter.NoTarget
 		}
-		if p.acquire(now, part, p.targets[at]) {
+		if p.acquire(part, kind, p.targets[at]) {
 			p.earn(g, kind)
 			return p.targets[at].ID, scatter.Picked
 		}
@@ -81,7 +81,7 @@
 }
 
 // gather collects the replicas that may get the attempt.
-func (p *picker) gather(now time.Duration, part *snapshot.Part, exclude []model.TargetID) {
+func (p *picker) gather(now time.Duration, part *snapshot.Part, kind scatter.Kind, exclude []model.TargetID) {
 	p.targets, p.candidates = p.targets[:0], p.candidates[:0]
 	for _, id := range part.Replicas {
 		t := p.view.targets[id]
@@ -94,7 +94,7 @@
 		t.mu.Unlock()
 		if full {
 			t.group.crowd(now)
-			p.record.refuse(now, part, id, refusedLimit)
+			p.record.refuse(part, id, kind, refusedLimit)
 			continue
 		}
 		if g := p.engine.cfg.Gate; g != nil && !g.Warm(id) {
@@ -106,7 +106,7 @@
 }
 
 // acquire takes a place at the target.
-func (p *picker) acquire(now time.Duration, part *snapshot.Part, t *targetState) bool {
+func (p *picker) acquire(part *snapshot.Part, kind scatter.Kind, t *targetState) bool {
 	t.mu.Lock()
 	full := t.evidence.InFlight() >= t.limiter.Limit() // another query may have come first
 	if !full {
@@ -114,7 +114,7 @@
 	}
 	t.mu.Unlock()
 	if full {
-		p.record.refuse(now, part, t.ID, refusedLimit)
+		p.record.refuse(part, t.ID, kind, refusedLimit)
 		return false
 	}
 	g := p.engine.cfg.Gate
@@ -127,7 +127,7 @@
 		t.mu.Lock()
 		t.evidence.Forget()
 		t.mu.Unlock()
-		p.record.refuse(now, part, t.ID, refusedGate)
+		p.record.refuse(part, t.ID, kind, refusedGate)
 		return false
 	}
 	p.releases = append(p.releases, release)
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -80,7 +80,6 @@
 
 // Result is the answer to a search request.
 type Result struct {
-	QueryID string
 	// Snapshot is a token that names the snapshot read.
 	Snapshot string
 	Versions map[model.IndexID]model.Version
@@ -96,7 +95,6 @@
 	identity model.Incarnation
 	sequence atomic.Uint64
 	queries  atomic.Uint64
-	history  *history
 	// tasks are attempts and cancel requests, which may outlast their query.
 	tasks conc.WaitGroup
 
@@ -126,7 +124,6 @@
 		cfg:      cfg,
 		start:    time.Now(),
 		identity: model.Incarnation(identity),
-		history:  newHistory(),
 		targets:  map[model.TargetID]*targetState{},
 		groups:   map[string]*group{},
 		callers:  map[model.CallerID]*callerState{},
@@ -155,7 +152,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	q := e.newQuery(v, chosen, request, now)
+	q := e.newQuery(ctx, v, chosen, request, now)
 	q.drive(ctx)
 	return q.answer(ctx)
 }
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/merge"
-	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
@@ -20,7 +20,7 @@
 	engine      *Engine
 	request     Request
 	fingerprint uint64
-	record      *Record
+	record      record
 	picker      *picker
 	machine     *scatter.Machine
 	sent        []*attempt // by number of the attempt
@@ -41,16 +41,15 @@
 	err     error
 }
 
-func (e *Engine) newQuery(v *view, chosen snapshot.Snapshot, request Request, now time.Duration) *run {
-	number := e.queries.Add(1)
-	id := model.AttemptID{Incarnation: e.identity, Sequence: number}.String()
-	deadline := e.start.Add(now + request.Deadline)
+func (e *Engine) newQuery(ctx context.Context, v *view, chosen snapshot.Snapshot, request Request, now time.Duration) *run {
+	cfg := e.scatterConfig(chosen, request, now)
 	q := &run{
 		engine:      e,
 		request:     request,
 		fingerprint: request.Fingerprint(),
-		record:      newRecord(id, request, chosen, e.start.Add(now), now),
-		deadline:    deadline,
+		record:      record{query: explain.From(ctx)},
+		deadline:    e.start.Add(cfg.Deadline),
+		sent:        make([]*attempt, 0, len(chosen.Parts)),
 		events:      make(chan event, len(chosen.Parts)),
 		over:        make(chan struct{}),
 	}
@@ -60,13 +59,13 @@
 		search:   request.Search,
 		caller:   e.caller(request.Caller),
 		callerID: request.Caller,
-		deadline: deadline,
-		rng:      rand.New(rand.NewPCG(e.cfg.Seed, number)),
+		deadline: q.deadline,
+		rng:      rand.New(rand.NewPCG(e.cfg.Seed, e.queries.Add(1))),
 		record:   q.record,
 	}
-	q.machine = scatter.New(e.scatterConfig(chosen, request, now), q.picker)
+	q.machine = scatter.New(cfg, q.picker)
 	q.pending.Store(1)
-	e.history.add(q.record)
+	q.record.start(cfg)
 	return q
 }
 
@@ -122,17 +121,15 @@
 // answer returns the result of the query. It comes from one snapshot.
 func (q *run) answer(ctx context.Context) (Result, error) {
 	result := q.machine.Result()
+	q.record.finish(result)
 	if err := q.refusal(ctx, result); err != nil {
-		q.record.finish(q.engine.now(), result, err)
 		return Result{}, err
 	}
 	token, err := q.engine.cfg.Keys.Seal(result.Snapshot.Token())
 	if err != nil {
 		return Result{}, fault.Wrap(err, fault.Internal, fault.Ran, "report this as a fault of the router", "snapshot token")
 	}
-	q.record.finish(q.engine.now(), result, nil)
 	return Result{
-		QueryID:  q.record.ID,
 		Snapshot: token,
 		Versions: result.Snapshot.Versions,
 		Coverage: result.Coverage,
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -12,7 +12,8 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
+	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -25,10 +26,14 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/version"
 )
 
+// recordedQueries is the number of recent queries that can be explained. At 130 queries/s it covers 8 s.
+const recordedQueries = 1024
+
 // operatorState is what the operator listener shows of the process.
 type operatorState struct {
 	metrics     *metrics.Set
 	dumps       *statedump.Registry
+	recorder    *explain.Recorder
 	incarnation model.Incarnation
 	started     time.Time
 
@@ -41,6 +46,7 @@
 	return &operatorState{
 		metrics:     metrics.NewSet(),
 		dumps:       statedump.New(),
+		recorder:    explain.New(recordedQueries),
 		incarnation: incarnation,
 		started:     time.Now(),
 	}
@@ -109,15 +115,16 @@
 }
 
 func (s *Server) commands() operatorapi.Routes {
-	return command.New(s.logger, command.Config{Acceptor: noAcceptor{}, Catalogues: s, Statuses: s.inventory})
+	acceptor := control.Acceptor{Store: s.ports.Store}
+	return command.New(s.logger, command.Config{Acceptor: acceptor, Catalogues: s, Statuses: s.inventory})
 }
 
 func (s *Server) queries() operatorapi.Routes {
 	return query.New(query.Config{
 		Host:      s.settings.HostID,
 		View:      ownView{s},
-		History:   noHistory{},
-		Explainer: s.engine,
+		History:   control.Acceptor{Store: s.ports.Store},
+		Explainer: s.operator.recorder,
 		Peers:     noPeers{},
 		Own:       s.configurationStatus,
 	})
@@ -170,13 +177,7 @@
 	})
 }
 
-// The following ports stand in until the control loop and the query engine provide them.
-
-type noAcceptor struct{}
-
-func (noAcceptor) Accept(context.Context, change.Change) (model.Generation, error) {
-	return 0, fault.New(fault.Unavailable, fault.NotRun, "write the store's head key", "this build accepts no changes")
-}
+// The following ports stand in until the control loop provides them.
 
 type ownView struct{ *Server }
 
@@ -191,10 +192,6 @@
 	}}
 }
 
-type noHistory struct{}
-
-func (noHistory) Changes() []change.Accepted { return []change.Accepted{} }
-
 type noPeers struct{}
 
 func (noPeers) Call(context.Context, string, peer.Kind, any, any) error {
