Find stragglers by attempts in flight, and judge queues per target

A host learned of a straggler only when its first attempt came back; one full or shedding target stopped the hedges of its whole group; and the caller's budget (burst 10) was used up by one query over many groups.

Change: the age of the oldest attempt in flight is a lower bound of a target's latency in the choice of replicas. Signs of queues (shed attempts, a full in-flight limit) belong to a target, and extra attempts avoid only such targets. The caller's burst is 64, one query over 61 shards; ordinary hedges leave half of each burst to late hedges and retries.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -27,16 +27,16 @@
 // Earn adds the share of one first attempt.
 func (b *Bucket) Earn() { b.tokens = min(b.cfg.Burst, b.tokens+b.cfg.Share) }
 
-// CanSpend tells whether one extra attempt is within the budget and leaves the reserve.
-func (b *Bucket) CanSpend(reserve float64) bool { return b.tokens >= 1+reserve }
+// CanSpend tells whether one extra attempt is within the budget and leaves the reserve, a share of the burst.
+func (b *Bucket) CanSpend(reserve float64) bool { return b.tokens >= 1+reserve*b.cfg.Burst }
 
 // Refund gives back the right to an extra attempt that was not sent.
 func (b *Bucket) Refund() { b.tokens = min(b.cfg.Burst, b.tokens+1) }
 
-// Spend takes the right to one extra attempt from both buckets or from neither, and leaves the reserve in both. While
-// queues form there is none, because extra attempts would lengthen them.
-func Spend(group, caller *Bucket, reserve float64, queueing bool) bool {
-	if queueing || !group.CanSpend(reserve) || !caller.CanSpend(reserve) {
+// Spend takes the right to one extra attempt from both buckets or from neither, and leaves the reserve, a share of the
+// burst, in both.
+func Spend(group, caller *Bucket, reserve float64) bool {
+	if !group.CanSpend(reserve) || !caller.CanSpend(reserve) {
 		return false
 	}
 	group.tokens--
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -48,7 +48,7 @@
 	Shard  model.ShardID  `json:"shard"`
 	// Role tells what the attempt was for.
 	Role string `json:"role"`
-	// Reason is in_flight_limit, gate or budget.
+	// Reason is in_flight_limit, queue, gate or budget.
 	Reason string `json:"reason"`
 	// AtMS counts from the start of the query, in milliseconds.
 	AtMS float64 `json:"at_ms"`
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -58,7 +58,6 @@
 }
 
 func (q *run) newAttempt(action scatter.Action) *attempt {
-	now := q.engine.now()
 	t := q.picker.view.targets[action.Attempt.Target]
 	id := model.AttemptID{Incarnation: q.engine.identity, Sequence: q.engine.sequence.Add(1)}
 	a := &attempt{
@@ -66,7 +65,7 @@
 		number:  action.Attempt.ID,
 		target:  t,
 		release: q.picker.takeRelease(),
-		started: now,
+		started: action.Attempt.Sent,
 		ended:   make(chan struct{}),
 		request: targetclient.SearchRequest{
 			Attempt:    id,
@@ -118,12 +117,15 @@
 	measured := false
 	switch failure {
 	case "", scatter.FailedCancelled, scatter.FailedSilent, scatter.FailedLate, scatter.FailedDeadline:
-		t.evidence.End(now, latency)
+		t.evidence.End(now, a.started)
 		measured = true
 	case scatter.FailedVersionGone:
-		t.evidence.Forget()
+		t.evidence.Forget(a.started)
 	default:
-		t.evidence.Refused(now)
+		t.evidence.Refused(now, a.started)
+	}
+	if failure == scatter.FailedShed {
+		t.evidence.Crowd(now)
 	}
 	t.limiter.Observe(now, latency, inFlight, loadOutcome(failure))
 	t.incarnation = max(t.incarnation, incarnation)
@@ -131,9 +133,6 @@
 	if measured {
 		t.group.sample(now, latency)
 	}
-	if failure == scatter.FailedShed {
-		t.group.crowd(now)
-	}
 	if failure == scatter.FailedVersionGone {
 		a.query.engine.refresh(t)
 	}
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -113,6 +114,29 @@
 	})
 }
 
+// TestNoExtraAttemptsWhereQueuesForm guards against hedges and retries that lengthen the queues of a target that sheds.
+func TestNoExtraAttemptsWhereQueuesForm(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		w.search(t, request())
+		now := w.engine.now()
+		part := &w.engine.view.Load().searches["all"].directory.Choose().Parts[0]
+		p := &picker{engine: w.engine, view: w.engine.view.Load(), caller: w.engine.caller("c"), rng: rand.New(rand.NewPCG(1, 1))}
+		for _, id := range part.Replicas[1:] {
+			p.view.targets[id].evidence.Crowd(now)
+		}
+		for range 2 {
+			id, verdict := p.Pick(now, part, scatter.LateHedge, nil)
+			require.Equal(t, scatter.Picked, verdict)
+			require.Equal(t, part.Replicas[0], id)
+		}
+		p.view.targets[part.Replicas[0]].evidence.Crowd(now)
+		_, verdict := p.Pick(now, part, scatter.LateHedge, nil)
+		require.Equal(t, scatter.NoTarget, verdict)
+		_, verdict = p.Pick(now, part, scatter.First, nil)
+		require.Equal(t, scatter.Picked, verdict)
+	})
+}
+
 // observer keeps what it is told.
 type observer struct {
 	mu     sync.Mutex
--- a/internal/query/picker.go
+++ b/internal/query/picker.go
@@ -15,20 +15,19 @@
 
 const (
 	// extraShare is the share of hedges and retries in steady state.
-	extraShare  = 0.05
-	groupBurst  = 4
-	callerBurst = 10
-	// hedgeReserve is the part of a budget that hedges of the usual tail leave to late hedges and retries. Hedging at
+	extraShare = 0.05
+	groupBurst = 4
+	// callerBurst lets a query over 61 shards send an extra attempt to each of them.
+	callerBurst = 64
+	// hedgeReserve is the share of the burst that hedges of the usual tail leave to late hedges and retries. Hedging at
 	// the 95th percentile asks for 5 % of the attempts, which is the whole budget.
-	hedgeReserve = 2
+	hedgeReserve = 0.5
 	// maxPerSlot times a target's slots is the most that this host ever has in flight there. A target queues two
 	// attempts per slot and sheds more.
 	maxPerSlot = 3
 	// firstHedgeDelay applies until latencies are known; minHedgeDelay keeps clock noise from causing hedges.
 	firstHedgeDelay = 10 * time.Millisecond
 	minHedgeDelay   = time.Millisecond
-	// crowdedTime is the time for which one refusal counts as a sign of queues.
-	crowdedTime = 100 * time.Millisecond
 )
 
 var retryBackoff = budget.Backoff{Base: 2 * time.Millisecond, Max: 20 * time.Millisecond}
@@ -61,7 +60,7 @@
 		return "", scatter.NoTarget
 	}
 	g := p.targets[0].group
-	if kind.Extra() && !p.spend(g, kind, now) {
+	if kind.Extra() && !p.spend(g, kind) {
 		p.record.refuse(part, "", kind, refusedBudget)
 		return "", scatter.NoBudget
 	}
@@ -71,7 +70,7 @@
 			p.refund(g, kind)
 			return "", scatter.NoTarget
 		}
-		if p.acquire(part, kind, p.targets[at]) {
+		if p.acquire(now, part, kind, p.targets[at]) {
 			p.earn(g, kind)
 			return p.targets[at].ID, scatter.Picked
 		}
@@ -88,13 +87,9 @@
 		if t == nil || slices.Contains(exclude, id) {
 			continue
 		}
-		t.mu.Lock()
-		candidate := t.evidence.Candidate(now, t.group.median(now))
-		full := t.evidence.InFlight() >= t.limiter.Limit()
-		t.mu.Unlock()
-		if full {
-			t.group.crowd(now)
-			p.record.refuse(part, id, kind, refusedLimit)
+		candidate, refused := t.consider(now, kind)
+		if refused != "" {
+			p.record.refuse(part, id, kind, refused)
 			continue
 		}
 		if g := p.engine.cfg.Gate; g != nil && !g.Warm(id) {
@@ -105,12 +100,28 @@
 	}
 }
 
+// consider returns the target's part in a choice, or the reason why it gets no attempt of the kind now. A target where a
+// queue forms gets no extra attempts, but its siblings do: a straggler that is full must not stop the hedges around it.
+func (t *targetState) consider(now time.Duration, kind scatter.Kind) (candidate replica.Candidate, refused string) {
+	median := t.group.median(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.evidence.InFlight() >= t.limiter.Limit() {
+		t.evidence.Crowd(now)
+		return candidate, refusedLimit
+	}
+	if kind.Extra() && t.evidence.Crowded(now) {
+		return candidate, refusedQueue
+	}
+	return t.evidence.Candidate(now, median), ""
+}
+
 // acquire takes a place at the target.
-func (p *picker) acquire(part *snapshot.Part, kind scatter.Kind, t *targetState) bool {
+func (p *picker) acquire(now time.Duration, part *snapshot.Part, kind scatter.Kind, t *targetState) bool {
 	t.mu.Lock()
 	full := t.evidence.InFlight() >= t.limiter.Limit() // another query may have come first
 	if !full {
-		t.evidence.Start()
+		t.evidence.Start(now)
 	}
 	t.mu.Unlock()
 	if full {
@@ -125,7 +136,7 @@
 	release, ok := g.Acquire(t.ID, p.deadline)
 	if !ok {
 		t.mu.Lock()
-		t.evidence.Forget()
+		t.evidence.Forget(now)
 		t.mu.Unlock()
 		p.record.refuse(part, t.ID, kind, refusedGate)
 		return false
@@ -145,7 +156,7 @@
 }
 
 // spend takes the right to one extra attempt from the group, the caller and the caller's cost limit.
-func (p *picker) spend(g *group, kind scatter.Kind, now time.Duration) bool {
+func (p *picker) spend(g *group, kind scatter.Kind) bool {
 	reserve := 0.0
 	if kind == scatter.Hedge {
 		reserve = hedgeReserve
@@ -154,7 +165,7 @@
 	defer g.mu.Unlock()
 	p.caller.mu.Lock()
 	defer p.caller.mu.Unlock()
-	if !budget.Spend(g.budget, p.caller.budget, reserve, now < g.crowded) {
+	if !budget.Spend(g.budget, p.caller.budget, reserve) {
 		return false
 	}
 	if limits := p.engine.cfg.Limits; limits != nil && !limits.Charge(p.callerID, 1) {
@@ -231,10 +242,3 @@
 	defer g.mu.Unlock()
 	return g.sketch.P95(now)
 }
-
-// crowd notes a sign that queues form at the group.
-func (g *group) crowd(now time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.crowded = max(g.crowded, now+crowdedTime)
-}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -44,7 +44,7 @@
 	Observer Observer
 	// Limiter is the kind of limit on attempts in flight per target; empty means AIMD.
 	Limiter concurrency.Variant
-	// GroupBudget and CallerBudget bound hedges and retries; zero values mean 5 % with a burst of 4 and 10.
+	// GroupBudget and CallerBudget bound hedges and retries; zero values mean 5 % with a burst of 4 and 64.
 	GroupBudget, CallerBudget budget.Config
 	// Seed makes the random choices reproducible.
 	Seed uint64
--- a/internal/query/record.go
+++ b/internal/query/record.go
@@ -14,6 +14,7 @@
 	refusedLimit  = "in_flight_limit"
 	refusedGate   = "gate"
 	refusedBudget = "budget"
+	refusedQueue  = "queue"
 )
 
 // record writes how a search goes to the record of its query, if it has one. It is safe for concurrent use.
--- a/internal/query/view.go
+++ b/internal/query/view.go
@@ -30,10 +30,9 @@
 
 // group is the state of one group of replicas.
 type group struct {
-	mu      sync.Mutex
-	sketch  replica.Sketch
-	budget  *budget.Bucket
-	crowded time.Duration // until this time queues are taken to form
+	mu     sync.Mutex
+	sketch replica.Sketch
+	budget *budget.Bucket
 }
 
 // callerState is the budget of one caller for extra attempts.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,15 +7,21 @@
 	"time"
 )
 
+// crowding is the time for which one shed attempt, or a full in-flight limit, counts as a sign of a queue.
+const crowding = 100 * time.Millisecond
+
 // avoidance is the time for which a target that refused or failed is chosen only if there is no other. It spans two
 // polls of the targets' reports.
 const avoidance = 500 * time.Millisecond
 
 // Evidence is what this host knows about one target.
 type Evidence struct {
-	inFlight   int
+	// starts holds the start of each attempt in flight, the oldest first.
+	starts     []time.Duration
 	latencies  Sketch
 	avoidUntil time.Duration
+	// crowdedUntil is the time until which a queue is taken to form at the target.
+	crowdedUntil time.Duration
 	// hintSlots and hintInFlight come from the target's report. They lag and may mislead, so they only weigh the draw.
 	hintSlots, hintInFlight int
 }
@@ -24,26 +30,45 @@
 func (e *Evidence) Hint(slots, inFlight int) { e.hintSlots, e.hintInFlight = slots, inFlight }
 
 // Start counts an attempt as in flight.
-func (e *Evidence) Start() { e.inFlight++ }
+func (e *Evidence) Start(now time.Duration) { e.starts = append(e.starts, now) }
 
-// End takes an attempt back. Latency is the time since its start; for an attempt that was cancelled or fell silent it is
-// a lower bound, which counts as well, because otherwise a straggler whose attempts always lose would have no samples.
-func (e *Evidence) End(now, latency time.Duration) {
-	e.inFlight--
-	e.latencies.Add(now, latency)
+// End takes back the attempt that started at the given time. For an attempt that was cancelled or fell silent its time is
+// a lower bound of the latency, which counts as well, because otherwise a straggler whose attempts always lose would have
+// no samples.
+func (e *Evidence) End(now, started time.Duration) {
+	e.Forget(started)
+	e.latencies.Add(now, now-started)
 }
 
-// Refused takes an attempt back that did not run or broke off, so that its time says nothing about the latency.
-func (e *Evidence) Refused(now time.Duration) {
-	e.inFlight--
+// Refused takes back an attempt that did not run or broke off, so that its time says nothing about the latency.
+func (e *Evidence) Refused(now, started time.Duration) {
+	e.Forget(started)
 	e.avoidUntil = now + avoidance
 }
 
-// Forget takes an attempt back that says nothing about the target's latency or health.
-func (e *Evidence) Forget() { e.inFlight-- }
+// Forget takes back an attempt that says nothing about the target's latency or health.
+func (e *Evidence) Forget(started time.Duration) {
+	if at := slices.Index(e.starts, started); at >= 0 {
+		e.starts = slices.Delete(e.starts, at, at+1)
+	}
+}
+
+// Crowd notes a sign that a queue forms at the target.
+func (e *Evidence) Crowd(now time.Duration) { e.crowdedUntil = now + crowding }
+
+// Crowded tells whether a queue seems to form at the target, so that it should get no extra attempts.
+func (e *Evidence) Crowded(now time.Duration) bool { return now < e.crowdedUntil }
 
 // InFlight returns the number of this host's attempts at the target.
-func (e *Evidence) InFlight() int { return e.inFlight }
+func (e *Evidence) InFlight() int { return len(e.starts) }
+
+// oldest returns the age of the attempt that has been in flight the longest, 0 if there is none.
+func (e *Evidence) oldest(now time.Duration) time.Duration {
+	if len(e.starts) == 0 {
+		return 0
+	}
+	return now - e.starts[0]
+}
 
 // P95 returns the 95th percentile of the target's latency, 0 if it is not known.
 func (e *Evidence) P95(now time.Duration) time.Duration { return e.latencies.P95(now) }
@@ -64,9 +89,11 @@
 	if latency == 0 {
 		latency = max(groupMedian, sketchUnit)
 	}
+	// An attempt in flight shows a straggler long before its latency is known.
+	latency = max(latency, e.oldest(now))
 	return Candidate{
-		Weight: max(1, e.hintSlots-max(e.hintInFlight, e.inFlight)),
-		Cost:   float64(e.inFlight+1) * float64(latency),
+		Weight: max(1, e.hintSlots-max(e.hintInFlight, e.InFlight())),
+		Cost:   float64(e.InFlight()+1) * float64(latency),
 		Avoid:  now < e.avoidUntil,
 	}
 }
