Estimate latency by exposure, so that cancelled attempts do not hide stragglers

Ruled out: leaving cancelled attempts out; a straggler whose attempts always lose then has no sample. Counting them as twice their time; the factor has no reason.

Change: the cost of a replica is the time that all its attempts spent, over the number that completed, with the group's median as one completed attempt.

TestCancelledAttemptsDoNotHideStraggler and TestAttemptInFlightShowsStraggler were shown failing with the median, and without the age of attempts in flight.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -117,7 +117,7 @@
 	measured := false
 	switch failure {
 	case "", scatter.FailedCancelled, scatter.FailedSilent, scatter.FailedLate, scatter.FailedDeadline:
-		t.evidence.End(now, a.started)
+		t.evidence.End(now, a.started, failure == "")
 		measured = true
 	case scatter.FailedVersionGone:
 		t.evidence.Forget(a.started)
@@ -131,7 +131,7 @@
 	t.incarnation = max(t.incarnation, incarnation)
 	t.mu.Unlock()
 	if measured {
-		t.group.sample(now, latency)
+		t.group.sample(now, latency, failure == "")
 	}
 	if failure == scatter.FailedVersionGone {
 		a.query.engine.refresh(t)
@@ -190,10 +190,10 @@
 	return t.incarnation
 }
 
-func (g *group) sample(now, latency time.Duration) {
+func (g *group) sample(now, latency time.Duration, complete bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sketch.Add(now, latency)
+	g.sketch.Add(now, latency, complete)
 }
 
 func loadOutcome(failure scatter.Failure) concurrency.Outcome {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -32,12 +32,11 @@
 // Start counts an attempt as in flight.
 func (e *Evidence) Start(now time.Duration) { e.starts = append(e.starts, now) }
 
-// End takes back the attempt that started at the given time. For an attempt that was cancelled or fell silent its time is
-// a lower bound of the latency, which counts as well, because otherwise a straggler whose attempts always lose would have
-// no samples.
-func (e *Evidence) End(now, started time.Duration) {
+// End takes back the attempt that started at the given time. complete is false if it was cancelled or fell silent: its
+// time still counts, because otherwise a straggler whose attempts always lose would have no samples.
+func (e *Evidence) End(now, started time.Duration, complete bool) {
 	e.Forget(started)
-	e.latencies.Add(now, now-started)
+	e.latencies.Add(now, now-started, complete)
 }
 
 // Refused takes back an attempt that did not run or broke off, so that its time says nothing about the latency.
@@ -85,7 +84,7 @@
 
 // Candidate returns the target's part in a choice. groupMedian stands in for a latency that is not known.
 func (e *Evidence) Candidate(now, groupMedian time.Duration) Candidate {
-	latency := e.latencies.Median(now)
+	latency := e.latencies.Mean(now, groupMedian)
 	if latency == 0 {
 		latency = max(groupMedian, sketchUnit)
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -22,7 +22,7 @@
 		chosen := Choose(rng, candidates)
 		counts[chosen]++
 		evidence[chosen].Start(now - latency[chosen])
-		evidence[chosen].End(now, now-latency[chosen])
+		evidence[chosen].End(now, now-latency[chosen], true)
 	}
 	return counts
 }
@@ -44,13 +44,27 @@
 	evidence := make([]Evidence, 3)
 	evidence[1].Start(0)
 	evidence[0].Start(0)
-	evidence[0].End(4*ms, 0)
+	evidence[0].End(4*ms, 0, true)
 	now := 50 * ms
 	require.Greater(t, evidence[1].Candidate(now, 4*ms).Cost, 10*evidence[0].Candidate(now, 4*ms).Cost)
-	evidence[1].End(now, 0)
+	evidence[1].End(now, 0, false)
 	require.Zero(t, evidence[1].InFlight())
 }
 
+// TestCancelledAttemptsDoNotHideStraggler guards against a straggler that looks fast because its attempts are cut short.
+func TestCancelledAttemptsDoNotHideStraggler(t *testing.T) {
+	var straggler, usual Evidence
+	for i := range 40 {
+		now := time.Duration(i) * 10 * ms
+		straggler.Start(now - 5*ms)
+		straggler.End(now, now-5*ms, i%20 == 0)
+		usual.Start(now - 8*ms)
+		usual.End(now, now-8*ms, true)
+	}
+	now := 400 * ms
+	require.Greater(t, straggler.Candidate(now, 8*ms).Cost, 5*usual.Candidate(now, 8*ms).Cost)
+}
+
 // TestMisleadingReportsOnlyWeighTheDraw guards against a target that reports free slots and thereby attracts all work.
 func TestMisleadingReportsOnlyWeighTheDraw(t *testing.T) {
 	evidence := make([]Evidence, 3)
--- a/internal/replica/sketch.go
+++ b/internal/replica/sketch.go
@@ -20,14 +20,27 @@
 // Sketch holds the latencies of the last one to two windows.
 type Sketch struct {
 	current, previous *hdrhistogram.Histogram
-	rotated           time.Duration
-	unread            int
-	median, p95       time.Duration
+	// exposed and exposedBefore belong to the current and the previous window.
+	exposed, exposedBefore exposure
+	rotated                time.Duration
+	unread                 int
+	median, p95            time.Duration
 }
 
-// Add records a latency.
-func (s *Sketch) Add(now, latency time.Duration) {
+// exposure is the time that attempts spent at a target, and the number of them that completed.
+type exposure struct {
+	time      time.Duration
+	completed int
+}
+
+// Add records a latency. complete is false if the attempt was cancelled or given up, so that the latency is only a lower
+// bound.
+func (s *Sketch) Add(now, latency time.Duration, complete bool) {
 	s.rotate(now)
+	s.exposed.time += latency
+	if complete {
+		s.exposed.completed++
+	}
 	if s.current == nil {
 		s.current = hdrhistogram.New(1, int64(sketchMax/sketchUnit), sketchDigits)
 	}
@@ -39,6 +52,18 @@
 	}
 }
 
+// Mean estimates the mean latency as the time that all attempts spent over the number that completed, which stays true if
+// attempts are cut short: a median of what was seen would show a straggler whose attempts are cancelled after 30 ms as a
+// target of 30 ms. prior counts as one completed attempt. It returns 0 if there is no recent sample.
+func (s *Sketch) Mean(now, prior time.Duration) time.Duration {
+	s.rotate(now)
+	spent := s.exposed.time + s.exposedBefore.time
+	if spent == 0 {
+		return 0
+	}
+	return (spent + prior) / time.Duration(s.exposed.completed+s.exposedBefore.completed+1)
+}
+
 // Median returns the median latency, 0 if there is no recent sample.
 func (s *Sketch) Median(now time.Duration) time.Duration {
 	s.rotate(now)
@@ -56,6 +81,10 @@
 	if age < sketchWindow {
 		return
 	}
+	s.exposedBefore, s.exposed = s.exposed, exposure{}
+	if age >= 2*sketchWindow {
+		s.exposedBefore = exposure{}
+	}
 	s.previous, s.current = s.current, s.previous
 	if s.current != nil {
 		s.current.Reset()
