Send no extra attempts to a group whose replicas mostly have queues

Ruled out: one sign for the whole group; one straggler would stop the hedges around it.

Change: no extra attempts while more than half of a part's replicas show signs of queues within 250 ms. Once every replica was asked, the next attempt is a retry with budget instead of a replacement.

--- a/internal/query/picker.go
+++ b/internal/query/picker.go
@@ -82,6 +82,10 @@
 // gather collects the replicas that may get the attempt.
 func (p *picker) gather(now time.Duration, part *snapshot.Part, kind scatter.Kind, exclude []model.TargetID) {
 	p.targets, p.candidates = p.targets[:0], p.candidates[:0]
+	if kind.Extra() && p.crowded(now, part) {
+		p.record.refuse(part, "", kind, refusedQueue)
+		return
+	}
 	for _, id := range part.Replicas {
 		t := p.view.targets[id]
 		if t == nil || slices.Contains(exclude, id) {
@@ -100,6 +104,24 @@
 	}
 }
 
+// crowded tells whether queues form at most replicas of a part: then the whole group is short of capacity. One replica
+// alone may be a straggler, around which hedges help.
+func (p *picker) crowded(now time.Duration, part *snapshot.Part) bool {
+	count := 0
+	for _, id := range part.Replicas {
+		if t := p.view.targets[id]; t != nil && t.crowded(now) {
+			count++
+		}
+	}
+	return 2*count > len(part.Replicas)
+}
+
+func (t *targetState) crowded(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.evidence.Crowded(now)
+}
+
 // consider returns the target's part in a choice, or the reason why it gets no attempt of the kind now. A target where a
 // queue forms gets no extra attempts, but its siblings do: a straggler that is full must not stop the hedges around it.
 func (t *targetState) consider(now time.Duration, kind scatter.Kind) (candidate replica.Candidate, refused string) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,7 +8,7 @@
 )
 
 // crowding is the time for which one shed attempt, or a full in-flight limit, counts as a sign of a queue.
-const crowding = 100 * time.Millisecond
+const crowding = 250 * time.Millisecond
 
 // avoidance is the time for which a target that refused or failed is chosen only if there is no other. It spans two
 // polls of the targets' reports.
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -110,7 +110,8 @@
 	}
 }
 
-// replace sends a replacement at once to a replica that was not asked yet, or later to one that was.
+// replace sends a replacement at once to a replica that was not asked yet. Once all of them were asked the next attempt is
+// a retry, so that targets which cannot be reached do not get attempts without bound.
 func (m *Machine) replace(now time.Duration, index int, p *part, what *snapshot.Part) {
 	if len(p.tried) < len(what.Replicas) {
 		m.plan(p, now, Replacement)
@@ -119,7 +120,7 @@
 	}
 	p.forgetFailures()
 	p.retries++
-	m.plan(p, now+m.picker.Backoff(p.retries), Replacement)
+	m.plan(p, now+m.picker.Backoff(p.retries), Retry)
 }
 
 // wantRestart restarts the query at a newer snapshot, now or when one is known.
