--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -28,8 +28,8 @@
 	Version model.Version  `json:"version,omitempty"`
 	// Role tells why the attempt was sent: first, replacement, retry, hedge or late_hedge.
 	Role string `json:"role"`
-	// ID is the attempt's id at the target; empty if it has none.
-	ID string `json:"attempt,omitempty"`
+	// ID is the id under which the target knows the attempt.
+	ID model.AttemptID `json:"attempt,omitzero"`
 	// StartMS and EndMS count from the start of the query, in milliseconds. EndMS is 0 while the attempt runs; it may be
 	// after the end of the query.
 	StartMS float64 `json:"start_ms"`
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -60,7 +60,8 @@
 func (q *run) newAttempt(action scatter.Action) *attempt {
 	t := q.picker.view.targets[action.Attempt.Target]
 	id := model.AttemptID{Incarnation: q.engine.identity, Sequence: q.engine.sequence.Add(1)}
-	a := &attempt{
+	a := q.room()
+	*a = attempt{
 		query:   q,
 		number:  action.Attempt.ID,
 		target:  t,
@@ -82,6 +83,16 @@
 	return a
 }
 
+// room returns an attempt of the block that was allocated for the first attempts, or a new one.
+func (q *run) room() *attempt {
+	if len(q.block) == 0 {
+		return new(attempt)
+	}
+	a := &q.block[0]
+	q.block = q.block[1:]
+	return a
+}
+
 // run sends the attempt and waits for its own end.
 func (a *attempt) run() {
 	q := a.query
--- a/internal/query/picker.go
+++ b/internal/query/picker.go
@@ -46,6 +46,8 @@
 	// releases are those of the targets picked whose attempts have not been sent yet, in order.
 	releases []gate.Release
 
+	// now is the time of the last pick.
+	now        time.Duration
 	candidates []replica.Candidate
 	targets    []*targetState
 	p95        []time.Duration
@@ -55,6 +57,7 @@
 
 // Pick implements scatter.Picker.
 func (p *picker) Pick(now time.Duration, part *snapshot.Part, kind scatter.Kind, exclude []model.TargetID) (model.TargetID, scatter.Verdict) {
+	p.now = now
 	p.gather(now, part, kind, exclude)
 	if len(p.targets) == 0 {
 		return "", scatter.NoTarget
@@ -222,7 +225,7 @@
 
 // HedgeDelay implements scatter.Picker.
 func (p *picker) HedgeDelay(part *snapshot.Part) time.Duration {
-	now := p.engine.now()
+	now := p.now
 	p.p95 = p.p95[:0]
 	var groupP95 time.Duration
 	for _, id := range part.Replicas {
--- a/internal/query/record.go
+++ b/internal/query/record.go
@@ -44,7 +44,7 @@
 			Shard:   action.What.ID,
 			Version: action.What.Version,
 			Role:    string(action.Attempt.Kind),
-			ID:      id.String(),
+			ID:      id,
 			StartMS: since(e),
 		})
 	})
--- a/internal/query/run.go
+++ b/internal/query/run.go
@@ -24,6 +24,7 @@
 	picker      *picker
 	machine     *scatter.Machine
 	sent        []*attempt // by number of the attempt
+	block       []attempt  // room for the first attempts
 	deadline    time.Time
 	// events brings the ends of attempts. It has room for some of them; over ends the wait of the rest.
 	events chan event
@@ -50,6 +51,7 @@
 		record:      record{query: explain.From(ctx)},
 		deadline:    e.start.Add(cfg.Deadline),
 		sent:        make([]*attempt, 0, len(chosen.Parts)),
+		block:       make([]attempt, len(chosen.Parts)),
 		events:      make(chan event, len(chosen.Parts)),
 		over:        make(chan struct{}),
 	}
--- a/internal/scatter/round.go
+++ b/internal/scatter/round.go
@@ -31,6 +31,8 @@
 	running [maxOpen]int
 	open    int
 	tried   []trial
+	// first is the room for the usual number of trials, without an allocation.
+	first [maxOpen]trial
 	// next is the time of the next planned attempt; 0 if there is none.
 	next     time.Duration
 	nextKind Kind
@@ -95,6 +97,9 @@
 func (p *part) add(attempt int, target model.TargetID) {
 	p.running[p.open] = attempt
 	p.open++
+	if p.tried == nil {
+		p.tried = p.first[:0]
+	}
 	p.tried = append(p.tried, trial{target: target})
 }
 
