--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -124,10 +124,11 @@
 	r.ramp = ramp{}
 }
 
-// Return makes a target cold because it is back in service.
+// Return makes a target cold because it is back in service. Every host sees the return, so one that knows already of a
+// target that has just become cold adds nothing.
 func (s *State) Return(now time.Duration, target model.TargetID) (Statement, bool) {
 	r := s.targets[target]
-	if r == nil {
+	if r == nil || !r.known.Warm && now-r.knownAt < SettleTime {
 		return Statement{}, false
 	}
 	return r.drop(now), true
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -136,6 +136,9 @@
 	return !s.hostsOut[id] && !s.centresOut[centre] && s.leaving[id] < max(incarnation, 1)
 }
 
+// Incarnation returns the newest known incarnation of a target; 0 if none is known.
+func (s *State) Incarnation(id model.TargetID) model.Incarnation { return s.targets[id].Incarnation }
+
 // Statements returns the newest statement about each target, for a host that has just started.
 func (s *State) Statements() []Statement {
 	result := make([]Statement, 0, len(s.targets))
--- /dev/null
+++ b/internal/server/gates_test.go
@@ -0,0 +1,243 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/gate"
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/rumor"
+)
+
+// fakeFleet joins the gates of a few hosts in memory. Frames and notices take 1 ms.
+type fakeFleet struct {
+	hosts     []*fakeHost
+	catalogue atomic.Pointer[model.Catalogue]
+	table     atomic.Pointer[control.FleetTable]
+}
+
+// fakeHost is the control view and the transport of one host.
+type fakeHost struct {
+	fleet     *fakeFleet
+	id        model.HostID
+	handlers  map[peer.Kind]peer.Handler
+	receivers map[rumor.Topic]func(rumor.Notice)
+	fenced    atomic.Bool
+	gates     *gates
+}
+
+func newFakeFleet(count int, catalogue *model.Catalogue) *fakeFleet {
+	f := &fakeFleet{}
+	f.catalogue.Store(catalogue)
+	f.table.Store(&control.FleetTable{})
+	for i := range count {
+		h := &fakeHost{fleet: f, id: model.HostID(fmt.Sprintf("h%02d", i))}
+		h.handlers = map[peer.Kind]peer.Handler{}
+		h.receivers = map[rumor.Topic]func(rumor.Notice){}
+		h.gates = newGates(zap.NewNop(), h.id, h, h)
+		f.hosts = append(f.hosts, h)
+	}
+	return f
+}
+
+// run starts the gates and writes the first fleet table. stop ends them.
+func (f *fakeFleet) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties conc.WaitGroup
+	for _, h := range f.hosts {
+		duties.Go(func() { h.gates.run(ctx) })
+		duties.Go(func() { h.gates.fetchEvidence(ctx) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	table := &control.FleetTable{Generation: 1}
+	for _, h := range f.hosts {
+		table.Hosts = append(table.Hosts, control.FleetHost{ID: h.id, Address: string(h.id)})
+	}
+	f.table.Store(table)
+	return func() {
+		cancel()
+		duties.Wait()
+	}
+}
+
+func (h *fakeHost) Catalogue() *model.Catalogue    { return h.fleet.catalogue.Load() }
+func (h *fakeHost) Fenced() bool                   { return h.fenced.Load() }
+func (h *fakeHost) FleetTable() control.FleetTable { return *h.fleet.table.Load() }
+
+func (h *fakeHost) Members() (members []membership.Member) {
+	for _, other := range h.fleet.hosts {
+		members = append(members, membership.Member{ID: other.id, Address: string(other.id), State: membership.Alive})
+	}
+	return members
+}
+
+func (h *fakeHost) Publish(notice rumor.Notice) {
+	for _, other := range h.fleet.hosts {
+		time.AfterFunc(time.Millisecond, func() { other.receivers[notice.Topic](notice) })
+	}
+}
+
+func (h *fakeHost) Subscribe(topic rumor.Topic, receive func(rumor.Notice)) {
+	h.receivers[topic] = receive
+}
+func (h *fakeHost) Handle(kind peer.Kind, handler peer.Handler) { h.handlers[kind] = handler }
+
+func (h *fakeHost) Send(address string, kind peer.Kind, body any) error {
+	time.AfterFunc(time.Millisecond, func() { _ = h.Call(context.Background(), address, kind, body, nil) })
+	return nil
+}
+
+func (h *fakeHost) Call(ctx context.Context, address string, kind peer.Kind, body, reply any) error {
+	encoded, err := msgpack.Marshal(body)
+	if err != nil {
+		return err
+	}
+	for _, other := range h.fleet.hosts {
+		if string(other.id) != address || other.handlers[kind] == nil {
+			continue
+		}
+		decode := func(into any) error { return msgpack.Unmarshal(encoded, into) }
+		answer, err := other.handlers[kind](ctx, peer.Sender{Host: h.id, Incarnation: 1}, decode)
+		if err != nil || reply == nil {
+			return err
+		}
+		if encoded, err = msgpack.Marshal(answer); err != nil {
+			return err
+		}
+		return msgpack.Unmarshal(encoded, reply)
+	}
+	return errors.New("no such host")
+}
+
+func gateCatalogue(generation model.Generation) *model.Catalogue {
+	return &model.Catalogue{
+		Generation: generation,
+		Callers:    []model.Caller{{ID: "depot", Rate: 600, Cost: 6000, InFlight: 60}},
+		Targets:    []model.Target{{ID: "t1", DataCentre: "a", Slots: 6, ColdSlots: 1}},
+	}
+}
+
+// warm sends attempts of 5 ms from every host until all of them know the target as warm, and returns the greatest
+// number that were in flight while any host did not.
+func (f *fakeFleet) warm(t *testing.T, incarnation model.Incarnation, within time.Duration) (most int64) {
+	var inFlight atomic.Int64
+	for start := time.Now(); !f.allWarm(); time.Sleep(2 * time.Millisecond) {
+		require.Less(t, time.Since(start), within)
+		for _, h := range f.hosts {
+			release, ok := h.gates.Acquire("t1", time.Now().Add(100*time.Millisecond))
+			if !ok {
+				continue
+			}
+			most = max(most, inFlight.Add(1))
+			time.AfterFunc(5*time.Millisecond, func() {
+				inFlight.Add(-1)
+				release(gate.Outcome{Result: gate.Success, Latency: 5 * time.Millisecond, Incarnation: incarnation})
+			})
+		}
+	}
+	return most
+}
+
+func (f *fakeFleet) allWarm() bool {
+	for _, h := range f.hosts {
+		if !h.gates.Warm("t1") {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fakeFleet) report(state model.TargetState, incarnation model.Incarnation) {
+	status := model.TargetStatus{Target: "t1", Incarnation: incarnation, State: state}
+	f.hosts[0].gates.ObserveStatus(status, time.Now())
+	time.Sleep(100 * time.Millisecond)
+}
+
+// TestGatesWarmATargetTogether guards against hosts that together overload a cold target (P3), and against a target
+// that stays cold. A new incarnation makes it cold at every host within 0.1 s.
+func TestGatesWarmATargetTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(4, gateCatalogue(1))
+		defer f.run()()
+		f.report(model.TargetReady, 1)
+		require.LessOrEqual(t, f.warm(t, 1, 10*time.Second), int64(6))
+		f.report(model.TargetReady, 2)
+		for _, h := range f.hosts {
+			require.False(t, h.gates.Warm("t1"))
+		}
+		require.LessOrEqual(t, f.warm(t, 2, 10*time.Second), int64(6))
+	})
+}
+
+// TestGatesStopWorkToLeavingTargets guards against new work to a target that drains, or whose data centre is out, and
+// against a return that is not a cold start (P4, P8).
+func TestGatesStopWorkToLeavingTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(3, gateCatalogue(1))
+		defer f.run()()
+		f.report(model.TargetReady, 1)
+		f.warm(t, 1, 10*time.Second)
+		refused := func() {
+			for _, h := range f.hosts {
+				_, ok := h.gates.Acquire("t1", time.Now().Add(50*time.Millisecond))
+				require.False(t, ok)
+				require.False(t, h.gates.Eligible("t1"))
+			}
+		}
+		f.report(model.TargetDraining, 1)
+		refused()
+		f.report(model.TargetReady, 1)
+		require.True(t, f.hosts[2].gates.Eligible("t1"))
+		require.False(t, f.hosts[2].gates.Warm("t1"))
+		f.warm(t, 1, 10*time.Second)
+		out := gateCatalogue(2)
+		out.DataCentresOut = []model.DataCentreOut{{ID: "a"}}
+		f.catalogue.Store(out)
+		refused()
+		f.catalogue.Store(gateCatalogue(3))
+		require.True(t, f.hosts[1].gates.Eligible("t1"))
+		require.False(t, f.hosts[1].gates.Warm("t1"))
+	})
+}
+
+// TestGatesLendTheGrant guards against a caller that lands on one host of twelve being held to a twelfth, against more
+// than the grant, and against a fenced host that admits.
+func TestGatesLendTheGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(12, gateCatalogue(1))
+		defer f.run()()
+		limits := f.hosts[5].gates
+		admitted := 0
+		for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(time.Millisecond) {
+			release, err := limits.Take("depot", 10, time.Now().Add(100*time.Millisecond))
+			if err != nil {
+				require.True(t, fault.IsKind(err, fault.RateLimited))
+				require.Equal(t, fault.NotRun, fault.As(err).Execution)
+				continue
+			}
+			time.AfterFunc(20*time.Millisecond, release)
+			if time.Since(start) >= time.Second {
+				admitted++
+			}
+		}
+		require.GreaterOrEqual(t, admitted, int(0.9*600*2))
+		require.LessOrEqual(t, admitted, int(600*2.1)+1)
+		f.hosts[5].fenced.Store(true)
+		_, err := limits.Take("depot", 1, time.Now().Add(100*time.Millisecond))
+		require.True(t, fault.IsKind(err, fault.CutOff))
+	})
+}
