Shift the load of a data centre that leaves over 0.4 s

When a data centre was taken out, all its work fell on the other replicas at the same moment at each host. Its targets now leave one by one within 0.4 s, each at a moment that follows from its id. Returning is gradual already, because returned targets start cold.

The check that refuses to take a data centre out for lack of capacity exists in internal/operatorapi/command (Shortages); no second one is added.

--- a/internal/server/gate_targets.go
+++ b/internal/server/gate_targets.go
@@ -16,7 +16,7 @@
 
 // Eligible implements gate.TargetGate.
 func (g *gates) Eligible(target model.TargetID) (ok bool) {
-	g.do(func(time.Duration) { ok = g.eligibility.Target(target) })
+	g.do(func(now time.Duration) { ok = g.eligibility.Target(now, target) })
 	return ok
 }
 
@@ -31,7 +31,7 @@
 	remaining := time.Until(deadline)
 	sentAt := time.Now()
 	g.do(func(now time.Duration) {
-		if remaining <= 0 || !g.eligibility.Target(target) {
+		if remaining <= 0 || !g.eligibility.Target(now, target) {
 			return
 		}
 		if g.phases.IsWarm(target) {
--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -152,7 +152,7 @@
 
 func (g *gates) setCatalogue(now time.Duration, catalogue *model.Catalogue) {
 	g.catalogue = catalogue
-	returned := g.eligibility.SetCatalogue(catalogue)
+	returned := g.eligibility.SetCatalogue(now, catalogue)
 	g.targets = make(map[model.TargetID]model.Target, len(catalogue.Targets))
 	var targets []coldstart.Target
 	for _, t := range catalogue.Targets {
--- a/internal/server/gates_test.go
+++ b/internal/server/gates_test.go
@@ -207,6 +207,7 @@
 		out := gateCatalogue(2)
 		out.DataCentresOut = []model.DataCentreOut{{ID: "a"}}
 		f.catalogue.Store(out)
+		time.Sleep(500 * time.Millisecond)
 		refused()
 		f.catalogue.Store(gateCatalogue(3))
 		require.True(t, f.hosts[1].gates.Eligible("t1"))
