Stop a host as planned without cutting a request

The host now turns not-ready, keeps serving for 2 s, refuses new work as not_run, finishes what it has within 30 s, hands over, announces its leave and closes its listeners when no request came for 0.25 s (3 s at most). While it stops, each answer closes its connection, so no caller sends over a connection that is about to be closed. Hand-over and leave are hooks for the ledger and the control loop.

Ruled out: switching keep-alive off in net/http, which closes idle connections at that moment and can cut a request that is on its way. A caller that kept a connection idle through the whole stop and sends at its last moment can still be cut.

--- /dev/null
+++ b/internal/processtest/stop_test.go
@@ -0,0 +1,54 @@
+package processtest
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+)
+
+// TestPlannedStopCutsNoRequest guards against a planned stop that cuts a request (P9): callers that send without a break
+// until the host refuses them get a whole answer or a refusal that says "not run" for every request.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	c := Start(t, Small(2))
+	h := c.Hosts[0]
+	var answered, afterSignal, refused atomic.Int64
+	var signalled atomic.Bool
+	var callers conc.WaitGroup
+	for caller := range 8 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				reply, refusal := h.Search(fmt.Sprintf("caller %d request %d", caller, n))
+				if refusal != nil {
+					require.Equal(t, fault.Stopping, refusal.Kind, refusal.Error())
+					require.Equal(t, fault.NotRun, refusal.Execution)
+					refused.Add(1)
+					return
+				}
+				require.Equal(t, reply.Coverage.Total, reply.Coverage.Answered)
+				answered.Add(1)
+				if signalled.Load() {
+					afterSignal.Add(1)
+				}
+			}
+		})
+	}
+	c.await("the load", func() bool { return answered.Load() > 200 })
+	signalled.Store(true)
+	h.Terminate()
+	c.await("the balancer to notice", func() bool { return !h.Ready() })
+	start := time.Now()
+	callers.Wait()
+	require.Zero(t, h.AwaitExit())
+	t.Logf("%d answered, %d of them after the signal, %d refused, exit after %v",
+		answered.Load(), afterSignal.Load(), refused.Load(), time.Since(start).Round(time.Millisecond))
+	require.Positive(t, afterSignal.Load())
+	require.EqualValues(t, 8, refused.Load())
+	_, refusal := c.Hosts[1].Search("the other host")
+	require.Nil(t, refusal)
+}
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -108,6 +108,9 @@
 
 // ready returns nil if this host takes new work.
 func (s *Server) ready() error {
+	if err := s.stopper.ready(); err != nil {
+		return err
+	}
 	if s.Catalogue() == nil {
 		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,8 @@
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
 	operator  *operatorState
+	stopper   stopper
+	stopHooks stopHooks
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -77,7 +79,7 @@
 // Catalogue returns the catalogue in force, or nil before the first.
 func (s *Server) Catalogue() *model.Catalogue { return s.catalogue.Load() }
 
-// Run serves until the context ends.
+// Run serves until the context ends, and then stops as planned: it finishes the work that it has.
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := s.ports.Network.Listen(s.settings.CallerListen)
 	if err != nil {
@@ -89,18 +91,23 @@
 	}
 	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
 	httpServer := &http.Server{
-		Handler:           api.Handler(),
+		Handler:           s.stopper.wrap(api.Handler()),
 		ReadTimeout:       readTimeout,
 		ReadHeaderTimeout: readTimeout,
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	stopping := ctx.Done()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var duties conc.WaitGroup
 	duties.Go(func() { s.followConfiguration(ctx) })
 	duties.Go(func() { s.pollStatuses(ctx) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
-		<-ctx.Done()
+		select {
+		case <-stopping:
+			s.stopper.plannedStop(ctx, s.logger, s.stopHooks)
+		case <-ctx.Done():
+		}
 		_ = httpServer.Shutdown(context.WithoutCancel(ctx)) // Serve reports the failure
 	})
 	s.logger.Info("serving callers", zap.String("address", listener.Addr().String()))
