--- /dev/null
+++ b/internal/subset/chunks.go
@@ -0,0 +1,34 @@
+package subset
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// Chunks assigns by deterministic shuffled chunks, for comparison with Rendezvous. The hosts are numbered in order of
+// their ids. Each round of as many hosts as there are chunks shuffles the units in its own way and gives each host one
+// chunk.
+func Chunks(cfg Config, hosts []model.HostID, units []string) Assignment {
+	result := make(Assignment, len(units))
+	if len(hosts) == 0 || len(units) == 0 {
+		return result
+	}
+	ordered := slices.Sorted(slices.Values(hosts))
+	size := max(1, min(len(units), cfg.HostsPerUnit*len(units)/len(ordered)))
+	chunks := max(1, len(units)/size)
+	shuffled := slices.Sorted(slices.Values(units))
+	for number, host := range ordered {
+		if number%chunks == 0 {
+			slices.Sort(shuffled)
+			rng := rand.New(rand.NewPCG(uint64(number/chunks), 0))
+			rng.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		}
+		at := number % chunks * size
+		for _, unit := range shuffled[at : at+size] {
+			result[unit] = append(result[unit], host)
+		}
+	}
+	return result
+}
