--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,10 @@
 	Incarnation model.Incarnation
 }
 
+// MaxColdDeadline is the longest time that an attempt at a target that is not warm may last. Permits end 1.5 s after they
+// were asked for and are renewed every 0.5 s, so a permit for this time can be had at any moment.
+const MaxColdDeadline = time.Second
+
 // Release ends an attempt's use of a target. It is called exactly once, when the reply has arrived, the connection is
 // known to be lost, or the attempt's deadline has passed; for a cancelled attempt too, not when it was cancelled.
 type Release func(Outcome)
@@ -50,7 +54,7 @@
 	Eligible(target model.TargetID) bool
 	// Warm tells whether the target takes work without a permit. Replica choice prefers warm targets.
 	Warm(target model.TargetID) bool
-	// Acquire asks to send one attempt that ends at the deadline. It refuses for a target that is not eligible, and for
+	// Acquire asks to send one attempt that ends at the deadline, for a target that is not warm within MaxColdDeadline. It refuses for a target that is not eligible, and for
 	// a cold target without a free permit that lasts until the deadline. When ok, release must be called once.
 	Acquire(target model.TargetID, deadline time.Time) (release Release, ok bool)
 }
--- a/internal/share/borrower.go
+++ b/internal/share/borrower.go
@@ -147,7 +147,7 @@
 		own = 0
 	}
 	need := max(0, wanted-max(0, own))
-	if need == 0 {
+	if need == 0 || s.stopped {
 		return s.giveBack(e, now)
 	}
 	missing := max(0, need-e.borrowed())
@@ -224,6 +224,16 @@
 	return sends
 }
 
+// ReturnAll gives back every loan that is not in use and stops borrowing, because this host stops.
+func (s *State) ReturnAll(now time.Duration) []Send {
+	s.stopped = true
+	var sends []Send
+	for _, key := range s.activeKeys(now) {
+		sends = append(sends, s.giveBack(s.entries[key], now)...)
+	}
+	return sends
+}
+
 // expirePending forgets requests whose grants would come too late.
 func (e *entry) expirePending(now time.Duration) {
 	for _, d := range e.debts {
--- a/internal/share/loan_test.go
+++ b/internal/share/loan_test.go
@@ -196,3 +196,39 @@
 	require.Zero(t, unsure.Usable(5999*time.Millisecond, rateKey))
 	require.InDelta(t, 100, unsure.Usable(6*time.Second, rateKey), 1e-9)
 }
+
+// TestDeadOwnersShareWaits guards against the share of an owner that left the table being used by the others while the
+// former owner may still use or have lent it; until then the rest of the grant remains.
+func TestDeadOwnersShareWaits(t *testing.T) {
+	states := fleetOf(4, map[Key]float64{rateKey: 240, unitKey: 8})
+	rest := Table{Generation: 2, Hosts: []TableHost{{ID: hostID(0)}, {ID: hostID(1)}, {ID: hostID(2)}}}
+	for _, state := range states[:3] {
+		state.SetTable(started, rest)
+	}
+	sum := func(key Key, after time.Duration) (total float64) {
+		for _, state := range states[:3] {
+			total += state.Usable(started+after, key)
+		}
+		return total
+	}
+	require.InDelta(t, 180, sum(rateKey, 5999*time.Millisecond), 1e-9)
+	require.InDelta(t, 240, sum(rateKey, 6*time.Second), 1e-9)
+	require.InDelta(t, 6, sum(unitKey, 16800*time.Millisecond), 1e-9)
+	require.InDelta(t, 8, sum(unitKey, 16900*time.Millisecond), 1e-9)
+}
+
+// TestReturnedLoansAreLentAgainAtOnce guards against a host that stops keeping amounts from the others for the rest of
+// the term.
+func TestReturnedLoansAreLentAgainAtOnce(t *testing.T) {
+	states := fleetOf(2, map[Key]float64{rateKey: 200})
+	request := askOwner(t, states, started)
+	borrower, owner := Sender{Host: hostID(0)}, Sender{Host: hostID(1)}
+	states[0].Step(started, owner, states[1].Step(started, borrower, request)[0].Message)
+	require.Less(t, states[1].Usable(started, rateKey), 10.0)
+	for _, send := range states[0].ReturnAll(started) {
+		states[1].Step(started, borrower, send.Message)
+	}
+	require.InDelta(t, 100, states[1].Usable(started, rateKey), 1e-9)
+	require.InDelta(t, 100, states[0].Usable(started, rateKey), 1e-9)
+	require.Empty(t, states[0].Tick(started+100*time.Millisecond), "a stopping host borrows again")
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -48,6 +48,8 @@
 	tables  []heldTable
 	entries map[Key]*entry
 	nonce   uint64
+	// stopped tells that this host stops and borrows nothing any more.
+	stopped bool
 }
 
 // entry is the state of one key.
