Turn a host not-ready while it or its data centre is out of service

A host that operators had taken out kept serving callers. It now turns not-ready as soon as it knows, refuses new work as not_run after the balancer's wait of 2 s, finishes what it has, and serves again after its return.

TestHostOutAndBack covers host and data centre; without the new phase it fails at the first probe.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -101,6 +101,7 @@
 	var duties conc.WaitGroup
 	duties.Go(func() { s.followConfiguration(ctx) })
 	duties.Go(func() { s.pollStatuses(ctx) })
+	duties.Go(func() { s.followOut(ctx) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
 		select {
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -41,6 +41,19 @@
 	phase    stopPhase
 	running  int
 	lastSeen time.Time
+	// outSince is the time at which operators took the host out of service; zero while it is in service.
+	outSince time.Time
+}
+
+// current returns the phase that is in force: that of a planned stop, or of a host that is out of service.
+func (s *stopper) current() stopPhase {
+	switch {
+	case s.outSince.IsZero():
+		return s.phase
+	case time.Since(s.outSince) < balancerWait:
+		return max(s.phase, leaving)
+	}
+	return refusing
 }
 
 // wrap counts the requests of callers. While the host stops, each answer closes its connection, so that no caller sends
@@ -51,12 +64,12 @@
 			s.serveProbe(w, r, next)
 			return
 		}
-		phase := s.enter()
+		phase, reason := s.enter()
 		if phase != serving {
 			w.Header().Set("Connection", "close")
 		}
 		if phase == refusing {
-			refuse(w, errStopping())
+			refuse(w, reason)
 			return
 		}
 		defer s.leave()
@@ -91,15 +104,16 @@
 // Unwrap gives http.ResponseController the connection.
 func (c *closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
 
-// enter counts a request, unless it is to be refused.
-func (s *stopper) enter() stopPhase {
+// enter counts a request, unless it is to be refused for the reason.
+func (s *stopper) enter() (phase stopPhase, reason *fault.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastSeen = time.Now()
-	if s.phase != refusing {
+	phase = s.current()
+	if phase != refusing {
 		s.running++
 	}
-	return s.phase
+	return phase, s.reason()
 }
 
 func (s *stopper) leave() {
@@ -118,10 +132,18 @@
 func (s *stopper) ready() *fault.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.phase == serving {
-		return nil
+	return s.reason()
+}
+
+// reason runs under the mutex.
+func (s *stopper) reason() *fault.Error {
+	switch {
+	case s.phase != serving:
+		return errStopping()
+	case !s.outSince.IsZero():
+		return errOut()
 	}
-	return errStopping()
+	return nil
 }
 
 func (s *stopper) inProgress() int {
@@ -180,6 +202,10 @@
 	return fault.New(fault.Stopping, fault.NotRun, "use another host", "this host is stopping")
 }
 
+func errOut() *fault.Error {
+	return fault.New(fault.NotReady, fault.NotRun, "use another host", "operators have taken this host out of service")
+}
+
 func refuse(w http.ResponseWriter, err *fault.Error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(err.HTTPStatus())
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
 // stopTrial is a host whose requests take a fixed time.
@@ -96,3 +97,27 @@
 		<-ended
 	})
 }
+
+// TestHostOutAndBack guards against a host that keeps taking work after operators took it or its data centre out, that
+// cuts its requests, or that does not come back (P4, P9).
+func TestHostOutAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStopTrial(4 * time.Second)
+		running := make(chan int, 1)
+		go func() { running <- s.request(http.MethodPost).Code }()
+		time.Sleep(time.Second)
+		catalogue := &model.Catalogue{DataCentresOut: []model.DataCentreOut{{ID: "dc-1"}}, HostsOut: []model.HostOut{{ID: "h9"}}}
+		require.True(t, isHostOut(catalogue, "h9", "dc-2"))
+		require.False(t, isHostOut(catalogue, "h1", "dc-2"))
+		require.True(t, s.stopper.setOut(isHostOut(catalogue, "h1", "dc-1")))
+		require.Equal(t, http.StatusServiceUnavailable, s.request(http.MethodGet).Code)
+		time.Sleep(balancerWait)
+		require.False(t, s.stopper.setOut(true))
+		refused := s.request(http.MethodPost)
+		require.Contains(t, refused.Body.String(), string(fault.NotRun))
+		require.Equal(t, http.StatusOK, <-running)
+		require.True(t, s.stopper.setOut(false))
+		require.Equal(t, http.StatusOK, s.request(http.MethodGet).Code)
+		require.Equal(t, http.StatusOK, s.request(http.MethodPost).Code)
+	})
+}
