Make disturbances in the share schedules as rare as intended

The generator prefers small numbers, so "one event in twenty is unusual" was far more frequent: hosts were cut off or paused most of the time, and few loans were in force. Drawing for a number in the middle restores the frequency.

Before, with 50 schedules, the property did not notice an owner's term that equals the borrower's, nor in-flight shares that wait 6 s.

--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -64,7 +64,7 @@
 	one := rapid.Custom(func(t *rapid.T) event {
 		e := event{host: rapid.IntRange(0, hosts-1).Draw(t, "host")}
 		e.advance = millis(t, "advance", 0, 5, 20, 50, 100, 400)
-		if rapid.IntRange(0, 19).Draw(t, "unusual") == 0 {
+		if rapid.IntRange(0, 19).Draw(t, "unusual") == 10 {
 			e.do = action(rapid.IntRange(0, int(actions)-1).Draw(t, "do"))
 			e.lasts = millis(t, "lasts", 500, 2500, 8000)
 			e.delay = millis(t, "delay", 0, 1, 20, 200, 700, 1400, 3000)
