Report a limit that does not fit into the bound of keys

Beyond 10,000 keys a grant was ignored in silence and its caller refused as over its limit. SetGrant now tells, and the gates log caller and limit. A caller takes three keys, so the bound is reached at about 3,300 callers.

TestKeysAreBounded covers the bound and that a removed key makes room.

--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -181,9 +181,16 @@
 }
 
 func (g *gates) grant(now time.Duration, caller model.Caller) {
-	g.shares.SetGrant(now, rateKey(caller.ID), caller.Rate)
-	g.shares.SetGrant(now, costKey(caller.ID), caller.Cost)
-	g.shares.SetGrant(now, inFlightKey(caller.ID), float64(caller.InFlight))
+	for key, amount := range map[share.Key]float64{
+		rateKey(caller.ID):     caller.Rate,
+		costKey(caller.ID):     caller.Cost,
+		inFlightKey(caller.ID): float64(caller.InFlight),
+	} {
+		if !g.shares.SetGrant(now, key, amount) {
+			g.logger.Error("too many limits; this host refuses the caller", zap.String("caller", string(caller.ID)),
+				zap.String("limit", string(key.Kind)), zap.Int("keys", share.MaxKeys))
+		}
+	}
 }
 
 func rateKey(id model.CallerID) share.Key { return share.Key{Kind: share.Rate, ID: string(id)} }
--- a/internal/share/loan_test.go
+++ b/internal/share/loan_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -232,3 +233,15 @@
 	require.InDelta(t, 100, states[0].Usable(started, rateKey), 1e-9)
 	require.Empty(t, states[0].Tick(started+100*time.Millisecond), "a stopping host borrows again")
 }
+
+// TestKeysAreBounded guards against a catalogue that grows the state of a host without limit, and against a key that is
+// refused without notice.
+func TestKeysAreBounded(t *testing.T) {
+	state := New(Config{Self: hostID(0)})
+	for i := range MaxKeys {
+		require.True(t, state.SetGrant(0, Key{Rate, strconv.Itoa(i)}, 1))
+	}
+	require.False(t, state.SetGrant(0, rateKey, 1))
+	require.True(t, state.SetGrant(0, Key{Rate, "0"}, 0))
+	require.True(t, state.SetGrant(0, rateKey, 1))
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -124,12 +124,16 @@
 	}
 }
 
-// SetGrant sets the fleet-wide amount of a key: a rate per second or a number of units. 0 removes the key.
-func (s *State) SetGrant(now time.Duration, key Key, amount float64) {
+// SetGrant sets the fleet-wide amount of a key: a rate per second or a number of units. 0 removes the key. It returns
+// false when there are MaxKeys already; the key then has no grant at this host.
+func (s *State) SetGrant(now time.Duration, key Key, amount float64) bool {
 	e := s.entries[key]
 	if e == nil {
-		if amount <= 0 || len(s.entries) >= MaxKeys {
-			return
+		if amount <= 0 {
+			return true
+		}
+		if len(s.entries) >= MaxKeys {
+			return false
 		}
 		e = &entry{key: key, accounts: map[Sender]*account{}, debts: map[model.HostID]*debt{}}
 		e.bucket.at = now
@@ -137,7 +141,7 @@
 		s.entries[key] = e
 	}
 	if e.grant == amount {
-		return
+		return true
 	}
 	s.advance(e, now)
 	e.grant = max(0, amount)
@@ -146,6 +150,7 @@
 	if amount <= 0 && e.idle() {
 		delete(s.entries, key)
 	}
+	return true
 }
 
 // idle tells whether nothing depends on the entry any more.
