--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -105,6 +105,9 @@
 
 // Ready returns nil if this host takes new work, or the refusal to send.
 func (s *Server) Ready() error {
+	if err := s.stopper.ready(); err != nil {
+		return err
+	}
 	if s.fleet.control == nil {
 		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has not joined the others")
 	}
