Count a host as ready only when it has heard from the targets

Ruled out: waiting for a report of every target, because one dead target would keep every host out of service.

--- a/internal/dev/check.go
+++ b/internal/dev/check.go
@@ -25,9 +25,9 @@
 	// outPeriod is how long the data centre stays out.
 	outPeriod = leaveLimit + 2*time.Second
 	// returnLimit is the time in which a data centre that is back has to get work again.
-	returnLimit     = 8 * time.Second
-	samplesPerHost  = 3
-	minAnsweredLoad = 0.99
+	returnLimit    = 8 * time.Second
+	samplesPerHost = 3
+	minWholeLoad   = 0.99
 )
 
 // checker runs the steps of the check.
@@ -51,6 +51,7 @@
 	c.step("sample searches", func() (string, error) { return c.samples(ctx) })
 	c.step("operator's change", func() (string, error) { return c.change(ctx) })
 	c.step("data centre out and back", func() (string, error) { return c.dataCentre(ctx) })
+	c.step("planned stop of a host", func() (string, error) { return c.restart(ctx) })
 	c.step("store outage", func() (string, error) { return c.storeOutage(ctx) })
 	if c.failed {
 		return errors.New("the check failed")
--- a/internal/dev/datacentre.go
+++ b/internal/dev/datacentre.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%s; %d of %d searches meanwhile answered, none with a wrong or cut answer", seen, answered, len(outcomes)), nil
+	return fmt.Sprintf("%s; %d of %d searches meanwhile answered in full, none wrong or cut", seen, answered, len(outcomes)), nil
 }
 
 func (c *checker) leaveAndReturn(ctx context.Context, centre model.DataCentreID) (string, error) {
@@ -89,26 +89,30 @@
 	return 0, fmt.Errorf("%s got no work within %s after its return", centre, returnLimit)
 }
 
-// checkLoad judges every search of the load and returns the number of answered ones.
+// checkLoad judges every search of the load and returns the number of those that were answered with full coverage.
 func (c *checker) checkLoad(outcomes []outcome) (int, error) {
 	judge := newJudge(c.env)
-	answered := 0
-	var last string
+	whole := 0
+	last := "none"
 	for _, o := range outcomes {
 		if o.failure != nil {
 			return 0, fmt.Errorf("%s at %s: %w", o.marker, o.host.Settings.HostID, o.failure)
 		}
 		if !o.answered() {
-			last = o.reason()
+			last = fmt.Sprintf("%s at %s", o.reason(), o.host.Settings.HostID)
 			continue
 		}
 		if err := judge.check(o); err != nil {
 			return 0, err
 		}
-		answered++
+		if o.reply.Coverage.Total == 0 || o.reply.Coverage.Answered < o.reply.Coverage.Total {
+			last = fmt.Sprintf("%d of %d shards at %s", o.reply.Coverage.Answered, o.reply.Coverage.Total, o.host.Settings.HostID)
+			continue
+		}
+		whole++
 	}
-	if float64(answered) < minAnsweredLoad*float64(len(outcomes)) || answered == 0 {
-		return 0, fmt.Errorf("only %d of %d searches were answered; the last refusal: %s", answered, len(outcomes), last)
+	if float64(whole) < minWholeLoad*float64(len(outcomes)) || whole == 0 {
+		return 0, fmt.Errorf("only %d of %d searches were answered with full coverage; the last other outcome: %s", whole, len(outcomes), last)
 	}
-	return answered, nil
+	return whole, nil
 }
--- a/internal/dev/environment.go
+++ b/internal/dev/environment.go
@@ -49,6 +49,7 @@
 // Host is one entry host of the environment.
 type Host struct {
 	Settings settings.Settings
+	stop     context.CancelFunc
 	done     chan struct{}
 	err      error
 }
@@ -72,6 +73,7 @@
 	logger          *zap.Logger
 	cfg             Config
 	network         *network
+	ctx             context.Context // of the processes
 	cancel          context.CancelFunc
 	platformAddress string
 	servers         []*http.Server
@@ -85,6 +87,7 @@
 		logger:        logger,
 		cfg:           cfg,
 		network:       newNetwork(),
+		ctx:           ctx,
 		cancel:        cancel,
 		CallerToken:   rand.Text(),
 		OperatorToken: rand.Text(),
@@ -206,23 +209,30 @@
 	}
 }
 
-func (e *Environment) startHosts(ctx context.Context) error {
+func (e *Environment) startHosts(context.Context) error {
 	for _, host := range e.Hosts {
 		if faults := host.Settings.Validate(); len(faults) > 0 {
 			return faults
 		}
-		ports := server.NewPorts(host.Settings)
-		ports.Network = e.network
-		process := server.New(e.logger.With(zap.String("host", string(host.Settings.HostID))), host.Settings, ports)
-		host.done = make(chan struct{})
-		go func() {
-			defer close(host.done)
-			host.err = process.Run(ctx)
-		}()
+		e.startHost(host)
 	}
 	return nil
 }
 
+// startHost runs a new process of the host in a goroutine.
+func (e *Environment) startHost(host *Host) {
+	ctx, stop := context.WithCancel(e.ctx)
+	host.stop = stop
+	host.done = make(chan struct{})
+	ports := server.NewPorts(host.Settings)
+	ports.Network = e.network
+	process := server.New(e.logger.With(zap.String("host", string(host.Settings.HostID))), host.Settings, ports)
+	go func() {
+		defer close(host.done)
+		host.err = process.Run(ctx)
+	}()
+}
+
 // Operators returns a client of the operator listeners of all hosts, beginning with host number first.
 func (e *Environment) Operators(first int) *operatorclient.Client {
 	var addresses []string
--- a/internal/dev/outage.go
+++ b/internal/dev/outage.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return "", fmt.Errorf("after the store's return: %w", err)
 	}
-	return fmt.Sprintf("%d of %d searches answered in %s without the store; a change meanwhile was refused as %s; one after it in force after %d ms",
+	return fmt.Sprintf("%d of %d searches answered in full in %s without the store; a change meanwhile was refused as %s; one after it in force after %d ms",
 		answered, len(outcomes), outagePeriod, refused, spread.Milliseconds()), nil
 }
 
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -111,6 +111,9 @@
 	if s.Catalogue() == nil {
 		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
 	}
+	if !s.polled.Load() {
+		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has not heard from the targets yet")
+	}
 	return nil
 }
 
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -17,6 +17,7 @@
 		started := time.Now()
 		if catalogue := s.Catalogue(); catalogue != nil {
 			s.pollOnce(ctx, catalogue.Targets)
+			s.polled.Store(true)
 		}
 		pause(ctx, statusPollInterval-time.Since(started))
 	}
