--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +37,7 @@
 	recorder    *explain.Recorder
 	incarnation model.Incarnation
 	started     time.Time
+	polled      atomic.Bool // every target was asked for its report once
 
 	mu         sync.Mutex
 	generation model.Generation
@@ -111,9 +113,6 @@
 	if s.Catalogue() == nil {
 		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
 	}
-	if !s.polled.Load() {
-		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has not heard from the targets yet")
-	}
 	return nil
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,8 +40,6 @@
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
 	operator  *operatorState
-	// polled tells that every target was asked for its report once. Before that, answers would miss shards.
-	polled atomic.Bool
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -89,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder).WithReady(s.ready)
+	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder).WithReady(s.heardFromTargets)
 	httpServer := &http.Server{
 		Handler:           api.Handler(),
 		ReadTimeout:       readTimeout,
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -17,7 +18,7 @@
 		started := time.Now()
 		if catalogue := s.Catalogue(); catalogue != nil {
 			s.pollOnce(ctx, catalogue.Targets)
-			s.polled.Store(true)
+			s.operator.polled.Store(true)
 		}
 		pause(ctx, statusPollInterval-time.Since(started))
 	}
@@ -37,3 +38,11 @@
 	}
 	pollers.Wait()
 }
+
+// heardFromTargets returns nil once every target was asked for its report. Before that, answers would miss shards.
+func (s *Server) heardFromTargets() error {
+	if !s.operator.polled.Load() {
+		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has not heard from the targets yet")
+	}
+	return nil
+}
