Leave data centres without hosts out of the proof of an outage

Cause: the proof asked for the reports of all data centres of the catalogue but one. Data centres that hold only targets have no relay, so with two of them no outage was ever proven and every host was fenced 3 s after the store failed.

Change: a data centre counts if the fleet table has a host in it; without a table all of them count, as before.

--- a/internal/configstate/reports.go
+++ b/internal/configstate/reports.go
@@ -88,8 +88,9 @@
 
 // OutageProven tells whether nobody can reach the store, so that no change can be accepted. That holds when the relays of
 // all in-service data centres but one, or but those of one region, and of a majority of them, say so, none says the
-// contrary, and none has a higher generation than the given one.
-func (r *Reports) OutageProven(now time.Duration, catalogue *model.Catalogue, generation model.Generation) bool {
+// contrary, and none has a higher generation than the given one. Data centres without hosts in the fleet table have no
+// relay and do not count.
+func (r *Reports) OutageProven(now time.Duration, catalogue *model.Catalogue, fleet Fleet, generation model.Generation) bool {
 	if catalogue == nil {
 		return false
 	}
@@ -104,7 +105,7 @@
 	}
 	total, missing := 0, 0
 	regions := map[model.RegionID]bool{}
-	for _, centre := range inService(catalogue) {
+	for _, centre := range inService(catalogue, fleet) {
 		total++
 		if !unreachable[centre.ID] || undecided[centre.ID] {
 			missing++
@@ -114,8 +115,16 @@
 	return 2*(total-missing) > total && (missing <= 1 || len(regions) <= 1)
 }
 
-func inService(c *model.Catalogue) []model.DataCentreInfo {
+// inService returns the data centres that are in service and have hosts. Without a fleet table all of them count.
+func inService(c *model.Catalogue, fleet Fleet) []model.DataCentreInfo {
+	hosting := map[model.DataCentreID]bool{}
+	for _, host := range fleet.Hosts {
+		hosting[host.DataCentre] = true
+	}
 	return slices.DeleteFunc(slices.Clone(c.DataCentres), func(centre model.DataCentreInfo) bool {
+		if len(hosting) > 0 && !hosting[centre.ID] {
+			return true
+		}
 		return slices.ContainsFunc(c.DataCentresOut, func(out model.DataCentreOut) bool { return out.ID == centre.ID })
 	})
 }
--- a/internal/configstate/state.go
+++ b/internal/configstate/state.go
@@ -84,7 +84,8 @@
 	if s.confirmed && s.confirmedAt >= 0 {
 		until = s.confirmedAt + FenceAge
 	}
-	if rely && !s.Behind() && s.Reports.Trouble(now) && s.Reports.OutageProven(now, s.Catalogue.Document(), s.Catalogue.Generation()) {
+	if rely && !s.Behind() && s.Reports.Trouble(now) &&
+		s.Reports.OutageProven(now, s.Catalogue.Document(), s.Fleet.Document(), s.Catalogue.Generation()) {
 		until = max(until, now+outageRecheck)
 	}
 	return until
--- a/internal/control/property_test.go
+++ b/internal/control/property_test.go
@@ -229,3 +229,26 @@
 	require.NotEmpty(t, naiveFailed)
 	t.Log("a naive host fails:", naiveFailed)
 }
+
+// Guards against hosts that refuse all work when the store fails, although nobody can accept a change then. The calls of
+// the relays get no answer, which takes longest to notice.
+func TestStoreOutageFencesNobody(t *testing.T) {
+	for _, hosts := range []int{4, 12, 60} {
+		s := newSim(uint64(hosts))
+		down := false
+		s.storeFails = func(*simHost) bool { return down }
+		s.accept(centreEdits(testCentres), true)
+		s.addHosts(hosts, testCentres, false)
+		s.advance(15*time.Second, nil)
+		for range 5 {
+			down = true
+			s.advance(10*time.Second, func() {
+				for i, h := range s.hosts {
+					require.Greater(t, h.serves, s.now, "host %d of %d", i, hosts)
+				}
+			})
+			down = false
+			s.advance(2*time.Second+77*time.Millisecond, nil)
+		}
+	}
+}
