Add tickets and the ledger that runs an operation at most once

Cause: payouts and bookings must not run twice, and a refusal that says 'not run' must be true although any host may get a repeat and any message may be lost, late or repeated. Ruled out: recording only executions. A copy that is still under way could then run after another copy was answered with 'not run', so an outcome 'not run' is final for its ticket as well. Change: internal/ticket with sealed tickets (two keys valid), a ledger bounded in records and bytes with a low-water sequence, and a handover in chunks that names the run of the successor.

--- /dev/null
+++ b/internal/ticket/ticket_test.go
@@ -0,0 +1,102 @@
+package ticket
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+)
+
+// TestTicketsOfBothKeysOpen guards against a key rotation that makes issued tickets worthless, and against forged ones.
+func TestTicketsOfBothKeysOpen(t *testing.T) {
+	old, err := NewSealer([]byte("old"))
+	require.NoError(t, err)
+	both, err := NewSealer([]byte("new"), []byte("old"))
+	require.NoError(t, err)
+	want := Ticket{Origin: Origin{"h1", 7}, Address: "127.0.0.1:1", Sequence: 3, Caller: "c", Service: "s"}
+	text, err := old.Seal(want)
+	require.NoError(t, err)
+	got, err := both.Open(text)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+
+	text, err = both.Seal(want)
+	require.NoError(t, err)
+	_, err = old.Open(text)
+	require.ErrorIs(t, err, ErrNotAuthentic)
+	for _, forged := range []string{"", "%", text[:20], strings.Repeat("A", MaxTextBytes+1)} {
+		_, err = both.Open(forged)
+		require.ErrorIs(t, err, ErrMalformed)
+	}
+	_, err = both.Open(text[:60] + "A" + text[61:])
+	require.ErrorIs(t, err, ErrNotAuthentic)
+}
+
+// TestLedgerAnswersRepeats guards against a repeat that runs again, also after its record has aged out.
+func TestLedgerAnswersRepeats(t *testing.T) {
+	b := New(Config{Limits: Limits{Records: 2, Bytes: 1 << 20, ResultBytes: 4}})
+	tickets := make([]Ticket, 4)
+	for i := range tickets {
+		tickets[i], _ = b.Issue("c", "s")
+	}
+	begin := func(i int) Verdict {
+		verdict, _ := b.Begin(tickets[i], 1)
+		return verdict
+	}
+	require.Equal(t, Execute, begin(1))
+	require.Equal(t, Running, begin(1))
+	verdict, _ := b.Begin(tickets[1], 2)
+	require.Equal(t, Mismatch, verdict)
+	require.Equal(t, Execute, begin(3))
+	require.Equal(t, Full, begin(2), "two running records fill the ledger")
+	b.Finish(tickets[1], Outcome{Execution: fault.Ran, Result: []byte("long result")})
+	verdict, outcome := b.Begin(tickets[1], 1)
+	require.Equal(t, Finished, verdict)
+	require.Equal(t, fault.Ran, outcome.Execution)
+	require.Empty(t, outcome.Result)
+	require.Equal(t, Unknown, begin(0), "making room for it moves the low water over it")
+	require.Equal(t, Execute, begin(2), "the finished record makes room")
+	require.Equal(t, Unknown, begin(1), "the record has aged out")
+	require.Equal(t, Unknown, begin(0), "a sequence below the low water is never executed")
+	tickets[0].Sequence = 4
+	require.Equal(t, Unknown, begin(0), "the sequence was not issued")
+}
+
+// TestHandoverFitsFrames guards against ledger messages over the frame size of 64 KiB that the peers agree on, and
+// against a book that closes but executes.
+func TestHandoverFitsFrames(t *testing.T) {
+	old := New(DefaultConfig(Origin{"old", 1}, "127.0.0.1:1"))
+	var last Ticket
+	for range 200 {
+		last, _ = old.Issue("c", "s")
+		verdict, _ := old.Begin(last, 1)
+		require.Equal(t, Execute, verdict)
+		old.Finish(last, Outcome{Execution: fault.Ran, Result: make([]byte, 16<<10)})
+	}
+	unused, _ := old.Issue("c", "s")
+	require.Nil(t, old.Export(Origin{"new", 1}))
+	old.Close()
+	verdict, _ := old.Begin(unused, 1)
+	require.Equal(t, Closed, verdict)
+	successor := New(DefaultConfig(Origin{"new", 1}, "127.0.0.1:2"))
+	chunks := old.Export(Origin{"new", 1})
+	require.Nil(t, old.Export(Origin{"third", 1}), "only one successor may get the ledger")
+	_, err := New(DefaultConfig(Origin{"new", 2}, "127.0.0.1:2")).Receive(chunks[0])
+	require.ErrorIs(t, err, ErrRefused, "another run of the successor must not take the ledger")
+	for i, chunk := range chunks {
+		frame, err := msgpack.Marshal(chunk)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(frame), 64<<10)
+		complete, err := successor.Receive(chunk)
+		require.NoError(t, err)
+		require.Equal(t, i == len(chunks)-1, complete)
+	}
+	verdict, outcome := successor.Begin(last, 1)
+	require.Equal(t, Finished, verdict)
+	require.Len(t, outcome.Result, 16<<10)
+	verdict, _ = successor.Begin(unused, 1)
+	require.Equal(t, Execute, verdict)
+}
