--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -25,7 +25,37 @@
 	router.GET(wire.PathStatus, h.status)
 	router.GET("/standin/records", h.records)
 	router.PUT("/standin/state", h.setState)
-	return router
+	router.PUT("/standin/poison", h.setPoison)
+	router.POST("/standin/crash", h.crash)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.silenced(r.Context()) {
+			silence(r)
+		}
+		router.ServeHTTP(w, r)
+	})
+}
+
+// endWithout ends the request without a reply if the fault says so.
+func endWithout(r *http.Request, fault Fault) {
+	switch fault {
+	case FaultSilent:
+		silence(r)
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// replyDamaged sends a reply. The checksum of a truncated one is that of the whole.
+func replyDamaged(w http.ResponseWriter, whole, sent any, fault Fault) {
+	if fault == FaultTruncated {
+		body, err := json.Marshal(whole)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	}
+	reply(w, http.StatusOK, sent)
 }
 
 func (h *Handler) search(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -38,7 +68,9 @@
 		replyError(w, request.Attempt, err)
 		return
 	}
-	reply(w, http.StatusOK, answer)
+	fault := h.target.takeFault()
+	endWithout(r, fault)
+	replyDamaged(w, answer, h.target.damageSearch(fault, request, answer), fault)
 }
 
 func (h *Handler) execute(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -51,7 +83,13 @@
 		replyError(w, request.Attempt, err)
 		return
 	}
-	reply(w, http.StatusOK, answer)
+	fault := h.target.takeFault()
+	endWithout(r, fault)
+	sent := answer
+	if fault != "" {
+		sent.Attempt.Sequence++
+	}
+	replyDamaged(w, answer, sent, fault)
 }
 
 func (h *Handler) cancel(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -69,6 +107,9 @@
 }
 
 func (h *Handler) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !h.target.Available() {
+		panic(http.ErrAbortHandler)
+	}
 	reply(w, http.StatusOK, h.target.Status())
 }
 
@@ -83,11 +124,35 @@
 	if !decode(w, r, &request) {
 		return
 	}
-	h.target.SetState(request.State)
+	if request.State == model.TargetCold {
+		h.target.TurnCold()
+	} else {
+		h.target.SetState(request.State)
+	}
+	reply(w, http.StatusOK, request)
+}
+
+func (h *Handler) setPoison(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request struct {
+		Text string `json:"text"`
+	}
+	if !decode(w, r, &request) {
+		return
+	}
+	h.target.SetPoison(request.Text)
 	reply(w, http.StatusOK, request)
 }
 
+func (h *Handler) crash(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	h.target.Crash()
+	reply(w, http.StatusOK, h.target.Status())
+}
+
+// replyError answers with the protocol's error. A lost attempt, or one at a target that is down, gets no answer at all.
 func replyError(w http.ResponseWriter, attempt model.AttemptID, err error) {
+	if errors.Is(err, targetclient.ErrLost) || errors.Is(err, targetclient.ErrNotSent) {
+		panic(http.ErrAbortHandler)
+	}
 	status, code := http.StatusInternalServerError, "internal"
 	switch {
 	case errors.Is(err, targetclient.ErrVersionGone):
@@ -119,7 +184,9 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	if w.Header().Get(wire.HeaderChecksum) == "" {
+		w.Header().Set(wire.HeaderChecksum, wire.Checksum(body))
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // the reader has gone when this fails
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -37,12 +37,17 @@
 // Record is one attempt that the target has seen.
 type Record struct {
 	Attempt model.AttemptID
+	Index   model.IndexID
+	Shard   model.ShardID
+	Version model.Version
 	Start   time.Time
 	End     time.Time
 	// Ran tells whether the attempt was executed, in whole or in part.
 	Ran bool
 	// State is the target's state at the start.
 	State model.TargetState
+	// Refused tells that the attempt gave up before it got a slot.
+	Refused bool
 	// InFlight is the number of attempts at the target at the start, this one included.
 	InFlight  int
 	Operation string
@@ -59,15 +64,20 @@
 	incarnation model.Incarnation
 	indexes     []IndexVersion
 	inFlight    int
+	running     int
+	queue       []*waiting
 	records     []Record
-	cancels     map[model.AttemptID]context.CancelFunc
-	documents   map[documentsKey][]corpus.Document
+	stops       map[model.AttemptID]context.CancelCauseFunc
 	slowdown    float64
-}
-
-type documentsKey struct {
-	index   model.IndexID
-	version model.Version
+	down        bool
+	crashes     int
+	servedCold  int
+	poison      string
+	hideState   bool
+	faults      []Fault
+	connections int
+	// silentBefore is the number of the last connection that stays silent.
+	silentBefore int
 }
 
 // New returns a ready target.
@@ -78,8 +88,7 @@
 		state:       model.TargetReady,
 		incarnation: cfg.Incarnation,
 		indexes:     cfg.Indexes,
-		cancels:     map[model.AttemptID]context.CancelFunc{},
-		documents:   map[documentsKey][]corpus.Document{},
+		stops:       map[model.AttemptID]context.CancelCauseFunc{},
 		slowdown:    1,
 	}
 }
@@ -121,7 +130,14 @@
 	if err != nil {
 		return targetclient.SearchReply{}, err
 	}
-	err = t.run(ctx, Record{Attempt: request.Attempt, Operation: "search", Payload: string(request.Query)}, request.DeadlineMS)
+	err = t.run(ctx, Record{
+		Attempt:   request.Attempt,
+		Index:     request.Index,
+		Shard:     request.Shard,
+		Version:   request.Version,
+		Operation: "search",
+		Payload:   string(request.Query),
+	}, request.DeadlineMS)
 	if err != nil {
 		return targetclient.SearchReply{}, err
 	}
@@ -159,8 +175,8 @@
 func (t *Target) Cancel(attempt model.AttemptID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if cancel, ok := t.cancels[attempt]; ok {
-		cancel()
+	if stop, ok := t.stops[attempt]; ok {
+		stop(targetclient.ErrCancelled)
 	}
 }
 
@@ -171,7 +187,7 @@
 	status := model.TargetStatus{
 		Target:      t.cfg.Target.ID,
 		Incarnation: t.incarnation,
-		State:       t.state,
+		State:       t.reportedState(),
 		Slots:       t.cfg.Target.Slots,
 		InFlight:    t.inFlight,
 		Load:        float64(t.inFlight) / float64(max(1, t.cfg.Target.Slots)),
@@ -184,6 +200,21 @@
 	return status
 }
 
+// reportedState returns the state that reports show. The caller holds the mutex.
+func (t *Target) reportedState() model.TargetState {
+	if t.hideState {
+		return model.TargetReady
+	}
+	return t.state
+}
+
+// Available tells whether the target accepts connections.
+func (t *Target) Available() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.down
+}
+
 func (t *Target) currentIncarnation() model.Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -203,76 +234,8 @@
 		}
 		at := slices.IndexFunc(index.ShardMap, func(s model.Shard) bool { return s.ID == request.Shard })
 		if at >= 0 {
-			return t.load(request.Index, request.Version), index.ShardMap[at].KeyRange, nil
+			return corpus.Documents(request.Index, request.Version), index.ShardMap[at].KeyRange, nil
 		}
 	}
 	return nil, model.KeyRange{}, targetclient.ErrVersionGone
 }
-
-// load returns the documents of a version. The caller holds the mutex.
-func (t *Target) load(index model.IndexID, version model.Version) []corpus.Document {
-	key := documentsKey{index, version}
-	if _, ok := t.documents[key]; !ok {
-		t.documents[key] = corpus.Documents(index, version)
-	}
-	return t.documents[key]
-}
-
-// run holds a slot for the service time. Attempts over the limit of waiting attempts are shed.
-func (t *Target) run(ctx context.Context, record Record, deadlineMS int64) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(deadlineMS)*time.Millisecond)
-	defer cancel()
-	wait, err := t.admit(&record, cancel)
-	if err != nil {
-		return err
-	}
-	defer t.finish(&record)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return targetclient.ErrCancelled
-	}
-}
-
-// queueFactor is the number of waiting attempts per slot that a target holds before it sheds.
-const queueFactor = 2
-
-// admit takes a place for the attempt and returns how long it takes.
-func (t *Target) admit(record *Record, cancel context.CancelFunc) (time.Duration, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	record.Start = time.Now()
-	record.State = t.state
-	record.InFlight = t.inFlight + 1
-	if t.state == model.TargetDraining {
-		t.records = append(t.records, *record)
-		return 0, targetclient.ErrDraining
-	}
-	if t.inFlight >= t.cfg.Target.Slots*(1+queueFactor) {
-		t.records = append(t.records, *record)
-		return 0, targetclient.ErrShed
-	}
-	t.inFlight++
-	t.cancels[record.Attempt] = cancel
-	record.Ran = true
-	return t.duration(), nil
-}
-
-// duration draws a service time that grows with the queue. The caller holds the mutex.
-func (t *Target) duration() time.Duration {
-	rounds := 1 + (t.inFlight-1)/max(1, t.cfg.Target.Slots)
-	factor := 0.5 + t.rng.ExpFloat64()*0.72
-	return time.Duration(float64(t.cfg.ServiceTime) * factor * t.slowdown * float64(rounds))
-}
-
-func (t *Target) finish(record *Record) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
-	delete(t.cancels, record.Attempt)
-	record.End = time.Now()
-	t.records = append(t.records, *record)
-}
