Execute operations over tickets, and decode caller requests strictly

Cause: callers had no way to run an operation at most once, and the caller listener scanned every entry for each token and decoded bodies of any depth.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -3,13 +3,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -64,6 +60,9 @@
 	searcher   Searcher
 	catalogues Catalogues
 	observer   *observer
+	executor   Executor
+
+	authenticator authenticator
 }
 
 // New returns the caller API. It adds its metrics to the set and its queries to the recorder.
@@ -80,6 +79,7 @@
 func (a *API) Handler() http.Handler {
 	router := httprouter.New()
 	router.POST("/v1/search", a.observer.observe("search", a.search))
+	a.routeExecute(router)
 	router.GET("/readyz", a.ready)
 	return router
 }
@@ -108,7 +108,7 @@
 	if catalogue == nil {
 		return SearchReply{}, errNotReady()
 	}
-	caller, err := authenticate(catalogue, r)
+	caller, err := a.authenticator.authenticate(catalogue, r)
 	if err != nil {
 		return SearchReply{}, err
 	}
@@ -134,34 +134,13 @@
 	return SearchReply{Versions: result.Versions, Coverage: result.Coverage, Hits: result.Hits}, nil
 }
 
-// authenticate finds the catalogue entry whose token the request bears.
-func authenticate(catalogue *model.Catalogue, r *http.Request) (model.Caller, error) {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return model.Caller{}, fault.New(fault.Unauthenticated, fault.NotRun,
-			"send the header Authorization: Bearer TOKEN", "the request bears no token")
-	}
-	sum := sha256.Sum256([]byte(token))
-	hash := hex.EncodeToString(sum[:])
-	for _, caller := range catalogue.Callers {
-		if slices.Contains(caller.TokenSHA256, hash) {
-			return caller, nil
-		}
-	}
-	return model.Caller{}, fault.New(fault.Unauthenticated, fault.NotRun,
-		"ask the operators for a catalogue entry", "no catalogue entry has this token")
-}
-
 func decodeSearch(w http.ResponseWriter, r *http.Request) (SearchRequest, error) {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, model.MaxBodyBytes))
-	decoder.DisallowUnknownFields()
 	var request SearchRequest
-	if err := decoder.Decode(&request); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return request, fault.New(fault.TooLarge, fault.NotRun, "send a smaller body", "the body is over 64 KiB")
-		}
-		return request, fault.Wrap(err, fault.BadRequest, fault.NotRun, "correct the body", "the body is not valid")
+	if err := decodeBody(w, r, &request); err != nil {
+		return request, err
+	}
+	if err := request.checkNames(); err != nil {
+		return request, err
 	}
 	if request.DeadlineMS <= 0 || request.DeadlineMS > model.MaxDeadline.Milliseconds() {
 		return request, fault.New(fault.BadRequest, fault.NotRun,
@@ -174,6 +153,13 @@
 	return request, nil
 }
 
+func (r SearchRequest) checkNames() error {
+	if len(r.Snapshot) > maxTokenBytes || len(r.MinSnapshot) > maxTokenBytes {
+		return fault.New(fault.BadRequest, fault.NotRun, "send the token as it was received", "a snapshot token is too long")
+	}
+	return checkName("search", string(r.Search))
+}
+
 func errNotReady() *fault.Error {
 	return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
 }
--- /dev/null
+++ b/internal/callerapi/decode.go
@@ -0,0 +1,105 @@
+package callerapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// maxIDBytes bounds the names in a request: searches, services and operations.
+const maxIDBytes = 128
+
+// maxTokenBytes bounds a snapshot token.
+const maxTokenBytes = 16 << 10
+
+// decodeBody reads a bounded body strictly. Its errors are typed, with execution "not run".
+func decodeBody(w http.ResponseWriter, r *http.Request, into any) error {
+	body, err := readBody(w, r)
+	if err != nil {
+		return err
+	}
+	return decodeStrict(body, into)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, model.MaxBodyBytes))
+	if err != nil {
+		return nil, readFault(err)
+	}
+	return body, nil
+}
+
+func readFault(err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.TooLarge, fault.NotRun, "send a smaller body", "the body is over 64 KiB")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.BadRequest, fault.NotRun, "send the whole body within 2 s", "the body did not arrive in time")
+	}
+	return fault.Wrap(err, fault.BadRequest, fault.NotRun, "send the whole body", "the body did not arrive")
+}
+
+// decodeStrict decodes one JSON document without unknown fields. The depth is checked first, because the decoder's
+// recursion would follow it.
+func decodeStrict(body []byte, into any) error {
+	if depth(body) > model.MaxJSONDepth {
+		return fault.New(fault.BadRequest, fault.NotRun, "nest at most 32 levels", "the body is nested too deeply")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fault.Wrap(err, fault.BadRequest, fault.NotRun, "correct the body", "the body is not valid")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return fault.New(fault.BadRequest, fault.NotRun, "send one JSON document", "the body goes on after its end")
+	}
+	return nil
+}
+
+// depth returns the greatest number of objects and arrays that are open at once.
+func depth(body []byte) int {
+	open, deepest := 0, 0
+	inString, escaped := false, false
+	for _, c := range body {
+		switch {
+		case escaped:
+			escaped = false
+		case inString && c == '\\':
+			escaped = true
+		case c == '"':
+			inString = !inString
+		case inString:
+		case c == '{' || c == '[':
+			open++
+			deepest = max(deepest, open)
+		case c == '}' || c == ']':
+			open--
+		}
+	}
+	return deepest
+}
+
+// checkName refuses an absent or over-long name.
+func checkName(field, value string) error {
+	if value == "" || len(value) > maxIDBytes {
+		return fault.New(fault.BadRequest, fault.NotRun, "send "+field+" with 1 to 128 bytes",
+			"%s has %d bytes", field, len(value))
+	}
+	return nil
+}
+
+// checkDeadline refuses a deadline that is out of bounds.
+func checkDeadline(milliseconds int64) error {
+	if milliseconds <= 0 || milliseconds > model.MaxDeadline.Milliseconds() {
+		return fault.New(fault.BadRequest, fault.NotRun,
+			"send deadline_ms from 1 to 10000", "deadline_ms is %d", milliseconds)
+	}
+	return nil
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -47,6 +47,7 @@
 	StoreUnavailable     Kind = "store_unavailable"
 	TicketInvalid        Kind = "ticket_invalid"
 	TicketGone           Kind = "ticket_gone"
+	TicketRunning        Kind = "ticket_running"
 	TargetFailed         Kind = "target_failed"
 	Unavailable          Kind = "unavailable"
 	Internal             Kind = "internal"
@@ -74,6 +75,7 @@
 	StoreUnavailable:     http.StatusServiceUnavailable,
 	TicketInvalid:        http.StatusBadRequest,
 	TicketGone:           http.StatusGone,
+	TicketRunning:        http.StatusConflict,
 	TargetFailed:         http.StatusBadGateway,
 	Unavailable:          http.StatusServiceUnavailable,
 	Internal:             http.StatusInternalServerError,
