Serve tickets and operations on the caller listener

Cause: the execute path existed as a package only. Ruled out: taking the successor's run from the membership view, which may lag behind a restart; the stopping host asks the candidate for its run before it sends a chunk. It takes the transport and the view of the other hosts, which are nil until the control loop is wired; tickets are then valid at the issuing host only.

--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -91,6 +91,7 @@
 	e.identity = identity(cfg.Self)
 	if cfg.Transport != nil {
 		cfg.Transport.Handle(KindForward, e.handleForward)
+		cfg.Transport.Handle(KindOffer, e.handleOffer)
 		cfg.Transport.Handle(KindHandover, e.handleHandover)
 	}
 	return e
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -212,7 +212,7 @@
 		f.bus.loseReplies[KindHandover] = true
 		for host := range 2 {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			f.hosts[host].HandOver(ctx, f.origin(host+1), f.hosts[host+1].cfg.Address)
+			f.hosts[host].HandOver(ctx, []string{"gone", fmt.Sprintf("h%d", host), fmt.Sprintf("h%d", host+1)})
 			cancel()
 		}
 		require.NoError(t, f.execute(2, used))
--- a/internal/execute/forward.go
+++ b/internal/execute/forward.go
@@ -15,6 +15,7 @@
 // The kinds of frames between hosts.
 const (
 	KindForward  peer.Kind = "execute_forward"
+	KindOffer    peer.Kind = "ledger_offer"
 	KindHandover peer.Kind = "ledger_handover"
 )
 
@@ -48,6 +49,9 @@
 	Moved   *Move          `msgpack:"moved"`
 }
 
+// offer asks a host whether it would take ledgers over. The reply names its run.
+type offer struct{}
+
 // accepted is the reply to KindHandover.
 type accepted struct {
 	// Complete tells that the whole ledger has arrived.
@@ -215,12 +219,17 @@
 	e.book.Close()
 }
 
-// HandOver closes the ledgers, waits for the operations in progress, and gives the ledgers to the successor, a run of a
-// host. It repeats a chunk until the successor has answered or the context ends, and never turns to another host.
-func (e *Engine) HandOver(ctx context.Context, successor ticket.Origin, address string) {
-	move := Move{From: e.cfg.Self, Successor: successor, Address: address}
+// HandOver closes the ledgers, waits for the operations in progress, and gives the ledgers to the first host of the
+// addresses that answers an offer. Once a chunk has been sent it never turns to another host.
+func (e *Engine) HandOver(ctx context.Context, addresses []string) {
 	e.Close()
 	e.awaitIdle(ctx)
+	successor, address := e.findSuccessor(ctx, addresses)
+	if address == "" {
+		e.logger.Warn("no host takes the ledgers over: their tickets answer outcome_unknown")
+		return
+	}
+	move := Move{From: e.cfg.Self, Successor: successor, Address: address}
 	e.mu.Lock()
 	e.moves.add(move)
 	chunks := e.book.Export(successor)
@@ -233,6 +242,27 @@
 		zap.Int("chunks", len(chunks)), zap.Int("unanswered", unanswered))
 }
 
+func (e *Engine) findSuccessor(ctx context.Context, addresses []string) (ticket.Origin, string) {
+	for _, address := range addresses {
+		bounded, cancel := context.WithTimeout(ctx, handoverCallTimeout)
+		var successor ticket.Origin
+		err := e.cfg.Transport.Call(bounded, address, KindOffer, offer{}, &successor)
+		cancel()
+		if err == nil && successor != (ticket.Origin{}) && successor != e.cfg.Self {
+			return successor, address
+		}
+	}
+	return ticket.Origin{}, ""
+}
+
+// handleOffer answers another host's KindOffer. A host that is closing has no use for ledgers.
+func (e *Engine) handleOffer(context.Context, peer.Sender, func(any) error) (any, error) {
+	if e.Statistics().Closed {
+		return ticket.Origin{}, nil
+	}
+	return e.cfg.Self, nil
+}
+
 // sendChunks sends the chunks in rounds, so that a lost reply to one does not hold up the others. It returns the number
 // of those without an answer.
 func (e *Engine) sendChunks(ctx context.Context, address string, chunks []ticket.Chunk) int {
--- a/internal/rumor/notice.go
+++ b/internal/rumor/notice.go
@@ -13,6 +13,7 @@
 	TopicDraining   Topic = "draining"
 	TopicQuarantine Topic = "quarantine"
 	TopicLeave      Topic = "leave"
+	TopicLedger     Topic = "ledger"
 )
 
 // Notice is one statement. Topic, Key and Epoch identify it; a higher epoch replaces a lower one.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -88,6 +88,7 @@
 		return err
 	}
 	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
+	api.SetExecutor(s.newExecutor(s.operator.incarnation, nil, nil))
 	httpServer := &http.Server{
 		Handler:           api.Handler(),
 		ReadTimeout:       readTimeout,
