Find requests that crash targets, and quarantine them

Cause: a request that crashes each target which runs it, sent again by its caller, takes down every replica of every group. Ruled out: quarantine by the score alone, as first designed. One scattered run loses ten targets at once and an innocent request beside it would reach the score by the same coincidence; so losses beside others count once, and a lost run alone is needed. The reports of all hosts are joined per lost target, so the score divides by the requests that any host had there. Change: internal/quarantine with suspicion, runs alone, quarantine, release by a clean run or a further report, bounded tables, messages for the other hosts and the cut of a caller's grant. A run alone weighs at least a third, so a busy host loses at most three targets to runs alone. The naive version with retries loses all 30 targets in one run (TestOneRunLosesOneTargetPerShard), against 11.

--- /dev/null
+++ b/internal/quarantine/fleet_test.go
@@ -0,0 +1,382 @@
+package quarantine
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261")
+	_ = flag.Set("rapid.shrinktime", "5s")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+const (
+	hostCount   = 12
+	groupCount  = 10
+	replicas    = 3
+	tick        = 10 * time.Millisecond
+	serviceTime = 20 * time.Millisecond
+	downTime    = time.Second
+	noticeDelay = time.Second // the longest way of a notice
+	poison      = Fingerprint(1)
+)
+
+// testRun is a request on its way through the fleet.
+type testRun struct {
+	host    int
+	run     Run
+	waiting []int // groups that are not sent yet
+	sent    []testAttempt
+	whole   bool
+}
+
+type testAttempt struct {
+	Attempt
+	group  int
+	tried  int
+	ending time.Duration
+}
+
+type notice struct {
+	to      int
+	due     time.Duration
+	message Message
+}
+
+// fleet is twelve hosts and thirty targets under a random schedule. draw returns a number below its argument.
+type fleet struct {
+	draw        func(int) int
+	naive       bool
+	now         time.Duration
+	hosts       []*State
+	incarnation map[model.TargetID]model.Incarnation
+	downUntil   map[model.TargetID]time.Duration
+	active      []*testRun
+	notices     []notice
+	sequence    uint64
+	lost        int           // targets lost to the poison
+	lostAlone   int           // of these, in runs alone
+	full        int           // runs of the poison as Normal
+	lastFull    time.Duration // when the last of them started
+	firstLoss   time.Duration
+}
+
+func newFleet(draw func(int) int, naive bool) *fleet {
+	f := &fleet{
+		draw: draw, naive: naive, firstLoss: -1,
+		incarnation: map[model.TargetID]model.Incarnation{}, downUntil: map[model.TargetID]time.Duration{},
+	}
+	for i := range hostCount {
+		f.hosts = append(f.hosts, New(model.HostID(fmt.Sprint(i))))
+	}
+	for group := range groupCount {
+		for replica := range replicas {
+			f.incarnation[targetOf(group, replica)] = 1
+			f.seen(targetOf(group, replica))
+		}
+	}
+	return f
+}
+
+func targetOf(group, replica int) model.TargetID {
+	return model.TargetID(fmt.Sprintf("g%d-%d", group, replica))
+}
+
+func (f *fleet) seen(target model.TargetID) {
+	for _, h := range f.hosts {
+		h.Seen(f.now, target, f.incarnation[target])
+	}
+}
+
+// step lets one tick pass. Some requests arrive, attempts end, notices arrive.
+func (f *fleet) step(arrivals []Fingerprint) {
+	f.now += tick
+	for _, fingerprint := range arrivals {
+		f.arrive(f.draw(hostCount), fingerprint)
+	}
+	for _, r := range f.active {
+		f.progress(r)
+	}
+	f.deliver()
+	ended := f.active[:0]
+	for _, r := range f.active {
+		if len(r.sent) == 0 && len(r.waiting) == 0 {
+			f.hosts[r.host].End(r.run, r.whole)
+			f.spread(r.host)
+			continue
+		}
+		ended = append(ended, r)
+	}
+	f.active = ended
+}
+
+func (f *fleet) arrive(host int, fingerprint Fingerprint) Verdict {
+	run := f.hosts[host].Admit(f.now, fingerprint)
+	if f.naive {
+		run.Verdict = Normal
+	}
+	if run.Verdict == Busy || run.Verdict == Quarantined {
+		return run.Verdict
+	}
+	r := &testRun{host: host, run: run, whole: true}
+	for group := range groupCount {
+		r.waiting = append(r.waiting, group)
+	}
+	if fingerprint == poison && run.Verdict == Normal {
+		f.full++
+		f.lastFull = f.now
+	}
+	f.active = append(f.active, r)
+	f.send(r)
+	return run.Verdict
+}
+
+// send sends what may be sent now: everything, or one attempt if the request runs alone and none has succeeded.
+func (f *fleet) send(r *testRun) {
+	alone := r.run.Verdict == Alone
+	count := len(r.waiting)
+	if alone && count == groupCount {
+		count = 1
+	}
+	for _, group := range r.waiting[:count] {
+		f.attempt(r, group, 0)
+	}
+	r.waiting = r.waiting[count:]
+}
+
+func (f *fleet) attempt(r *testRun, group, tried int) {
+	target := targetOf(group, f.draw(replicas))
+	if tried > 0 || f.now < f.downUntil[target] {
+		for replica := range replicas {
+			if f.now >= f.downUntil[targetOf(group, replica)] {
+				target = targetOf(group, replica)
+			}
+		}
+	}
+	if f.now < f.downUntil[target] {
+		r.whole = false
+		return
+	}
+	f.sequence++
+	a := testAttempt{
+		Attempt: Attempt{
+			ID: model.AttemptID{Sequence: f.sequence}, Target: target, Caller: "caller",
+			Fingerprint: r.run.Fingerprint, Alone: r.run.Verdict == Alone,
+		},
+		group: group, tried: tried, ending: f.now + serviceTime,
+	}
+	f.hosts[r.host].Started(a.Attempt)
+	r.sent = append(r.sent, a)
+}
+
+func (f *fleet) progress(r *testRun) {
+	for _, a := range r.sent {
+		if f.now >= a.ending && a.Fingerprint == poison {
+			f.crash(a.Attempt)
+		}
+	}
+	var still []testAttempt
+	succeeded := false
+	for _, a := range r.sent {
+		if f.now < a.ending {
+			still = append(still, a)
+			continue
+		}
+		f.hosts[r.host].Replied(f.now, a.ID, a.Target, f.incarnation[a.Target])
+		succeeded = true
+	}
+	r.sent = still
+	if succeeded {
+		f.send(r)
+	}
+}
+
+// crash ends a target's run: every attempt there loses its connection.
+func (f *fleet) crash(by Attempt) {
+	f.lost++
+	if by.Alone {
+		f.lostAlone++
+	}
+	if f.firstLoss < 0 {
+		f.firstLoss = f.now
+	}
+	f.downUntil[by.Target] = f.now + downTime
+	for _, r := range f.active {
+		var kept, retried []testAttempt
+		for _, a := range r.sent {
+			if a.Target != by.Target {
+				kept = append(kept, a)
+				continue
+			}
+			f.hosts[r.host].Lost(f.now, a.ID, a.Target)
+			retried = append(retried, a)
+		}
+		r.sent = kept
+		f.spread(r.host)
+		for _, a := range retried {
+			f.afterLoss(r, a)
+		}
+	}
+	f.incarnation[by.Target]++
+	f.seen(by.Target)
+}
+
+// afterLoss ends a request that lost an attempt. The naive version tries the other replicas instead.
+func (f *fleet) afterLoss(r *testRun, a testAttempt) {
+	r.whole = false
+	if f.naive && a.tried < replicas-1 {
+		f.attempt(r, a.group, a.tried+1)
+		return
+	}
+	if r.run.Verdict == Alone {
+		r.waiting = nil
+	}
+}
+
+func (f *fleet) spread(from int) {
+	for _, m := range f.hosts[from].Drain() {
+		for to := range f.hosts {
+			delay := time.Duration(f.draw(int(noticeDelay/tick))) * tick
+			f.notices = append(f.notices, notice{to, f.now + delay, m})
+		}
+	}
+}
+
+func (f *fleet) deliver() {
+	kept := f.notices[:0]
+	for _, n := range f.notices {
+		if n.due > f.now {
+			kept = append(kept, n)
+			continue
+		}
+		f.hosts[n.to].Step(f.now, n.message)
+	}
+	f.notices = kept
+}
+
+// schedule draws the arrivals of a tick: the poison, sent again and again, and innocent requests.
+func (f *fleet) schedule(poisonPeriod int) []Fingerprint {
+	var arrivals []Fingerprint
+	if f.draw(poisonPeriod) == 0 {
+		arrivals = append(arrivals, poison)
+	}
+	if f.draw(3) == 0 {
+		arrivals = append(arrivals, Fingerprint(2+f.draw(20)))
+	}
+	return arrivals
+}
+
+// check runs a schedule and returns the first broken promise.
+func check(draw func(int) int, ticks int) error {
+	f := newFleet(draw, false)
+	period := 1 + draw(50)
+	for range ticks {
+		f.step(f.schedule(period))
+	}
+	if f.firstLoss >= 0 && f.lastFull > f.firstLoss+noticeDelay+tick {
+		return fmt.Errorf("a run of the poison began as usual %s after the first loss", f.lastFull-f.firstLoss)
+	}
+	if bound := f.full*groupCount + 3 + hostCount - 1; f.lost > bound {
+		return fmt.Errorf("%d targets lost, %d of them alone: the bound is %d", f.lost, f.lostAlone, bound)
+	}
+	for range int(2 * noticeDelay / tick) { // the last requests end
+		f.step(nil)
+	}
+	f.now += duration
+	for fingerprint := Fingerprint(2); fingerprint < 22; fingerprint++ {
+		host := f.draw(hostCount)
+		f.arrive(host, fingerprint)
+		for range 10 {
+			f.step(nil)
+		}
+		if verdict := f.hosts[host].Admit(f.now, fingerprint).Verdict; verdict != Normal {
+			return fmt.Errorf("innocent request %d is still held: verdict %d", fingerprint, verdict)
+		}
+	}
+	return nil
+}
+
+// TestLossesToOneRequestAreBounded guards against a request of death that is sent again and again to any host. The bound
+// is the shards of the runs that began before the notice of the first loss arrived, three runs alone, and one run alone
+// for each other host that had not heard of them.
+func TestLossesToOneRequestAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		require.NoError(t, check(draw, 60))
+	})
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		require.NoError(t, check(rng.IntN, 1000), "seed %d", seed)
+	}
+}
+
+// TestOneRunLosesOneTargetPerShard guards the bound of a caller who waits for the answer before it sends again, beside a
+// naive version that tries the other replicas after a loss.
+func TestOneRunLosesOneTargetPerShard(t *testing.T) {
+	lost := func(naive bool) int {
+		rng := rand.New(rand.NewPCG(1, 3))
+		f := newFleet(rng.IntN, naive)
+		for range 20 {
+			f.step([]Fingerprint{poison})
+			for range int(2 * noticeDelay / tick) {
+				f.step(nil)
+			}
+			if naive {
+				break
+			}
+		}
+		return f.lost
+	}
+	require.Equal(t, groupCount+1, lost(false), "one per shard, and one more alone")
+	require.Equal(t, groupCount*replicas, lost(true), "the naive version loses every target of each group")
+}
+
+// TestCallerOfManyQuarantinesIsCut guards against a caller that goes on with new requests of death.
+func TestCallerOfManyQuarantinesIsCut(t *testing.T) {
+	s := New("h")
+	for i := range 4 {
+		require.Equal(t, 1.0, s.Grant(0, "careless"))
+		fingerprint := Fingerprint(i)
+		for _, target := range []model.TargetID{"a", "b"} {
+			s.Seen(0, target, model.Incarnation(i+1))
+			run := s.Admit(0, fingerprint)
+			id := model.AttemptID{Sequence: uint64(i)}
+			s.Started(Attempt{ID: id, Target: target, Caller: "careless", Fingerprint: fingerprint, Alone: run.Verdict == Alone})
+			s.Lost(0, id, target)
+			s.End(run, false)
+		}
+		require.Equal(t, Quarantined, s.Admit(0, fingerprint).Verdict)
+	}
+	require.Equal(t, CutGrant, s.Grant(0, "careless"))
+	require.Equal(t, 1.0, s.Grant(0, "other"))
+	require.Equal(t, 1.0, s.Grant(duration, "careless"))
+	require.Equal(t, Alone, s.Admit(duration, 0).Verdict, "after its quarantine a request runs alone first")
+}
+
+// TestTablesAreBounded guards against memory that grows with the requests of a caller, and against losses that a target
+// announced.
+func TestTablesAreBounded(t *testing.T) {
+	s := New("h")
+	for i := range 2 * maxEntries {
+		id := model.AttemptID{Sequence: uint64(i)}
+		s.Started(Attempt{ID: id, Target: "a", Caller: model.CallerID(fmt.Sprint(i)), Fingerprint: Fingerprint(i)})
+		s.Seen(0, "a", model.Incarnation(i+1))
+		s.Replied(0, id, "a", 0)
+	}
+	require.LessOrEqual(t, s.Statistics(0).Suspects, maxEntries)
+	require.LessOrEqual(t, s.Statistics(0).Losses, maxEntries)
+	s.Drain()
+	s.Draining("a")
+	s.Started(Attempt{Target: "a", Fingerprint: 1})
+	s.Lost(0, model.AttemptID{}, "a")
+	require.Empty(t, s.Drain(), "the end of a draining target is no loss")
+}
