Guard operations against requests that crash targets

Cause: the quarantine existed as a package only. A first process test showed that a target which has crashed, but answers by cutting connections, accuses whatever is sent to it next. Change: internal/server/quarantine.go keeps the state behind a mutex, spreads its messages on rumor.TopicQuarantine, lets a suspect wait for its turn, and admits one of ten requests of a caller whose grant is cut. The execute path reports its attempts. Attempts that started after their target's run was known to be lost are no evidence. Shown failing: without the last rule 'expected 1, actual 2' in TestLostTargetAccusesNobodyTwice; without the cut 'expected 10' in TestGuardCutsTheGrant.

--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -31,11 +31,12 @@
 
 // Guard watches for operations that crash targets.
 type Guard interface {
-	// Admit refuses an operation that is quarantined, with a *fault.Error. alone tells that it may be sent only once.
-	Admit(caller model.CallerID, fingerprint uint64) (alone bool, err error)
-	// Started and Ended report an attempt at a target. The error is nil for a whole reply.
+	// Admit refuses an operation that is quarantined, with a *fault.Error. alone tells that it may be sent only once. end
+	// is called once with the result; whole tells that the operation ran and was answered.
+	Admit(ctx context.Context, caller model.CallerID, fingerprint uint64) (alone bool, end func(whole bool), err error)
+	// Started and Ended report an attempt at a target. The error is nil for a whole reply, whose incarnation is known.
 	Started(attempt model.AttemptID, target model.TargetID, caller model.CallerID, fingerprint uint64)
-	Ended(attempt model.AttemptID, target model.TargetID, err error)
+	Ended(attempt model.AttemptID, target model.TargetID, incarnation model.Incarnation, err error)
 }
 
 // Config describes an engine.
--- a/internal/execute/holder.go
+++ b/internal/execute/holder.go
@@ -97,14 +97,19 @@
 		}
 		defer release()
 	}
-	alone := false
-	if e.cfg.Guard != nil {
-		if alone, err = e.cfg.Guard.Admit(op.Ticket.Caller, op.Fingerprint); err != nil {
-			return nil, err
-		}
+	s := &sending{engine: e, op: op, deadline: deadline, repeatable: service.Repeatable}
+	targets := targetsOf(catalogue, e.order(service.Targets))
+	if e.cfg.Guard == nil {
+		return s.run(ctx, targets)
+	}
+	alone, end, err := e.cfg.Guard.Admit(ctx, op.Ticket.Caller, op.Fingerprint)
+	if err != nil {
+		return nil, err
 	}
-	s := &sending{engine: e, op: op, deadline: deadline, repeatable: service.Repeatable && !alone}
-	return s.run(ctx, targetsOf(catalogue, e.order(service.Targets)))
+	s.repeatable = service.Repeatable && !alone
+	result, err := s.run(ctx, targets)
+	end(err == nil)
+	return result, err
 }
 
 // remedyNewTicket follows from outcomes being final: the refused ticket is spent.
@@ -201,7 +206,7 @@
 	reply, err := s.engine.cfg.Targets.Execute(ctx, target, request)
 	release(gate.Outcome{Result: resultOf(err), Latency: time.Since(started), Incarnation: reply.Incarnation})
 	if guard != nil {
-		guard.Ended(request.Attempt, target.ID, err)
+		guard.Ended(request.Attempt, target.ID, reply.Incarnation, err)
 	}
 	return reply, err
 }
--- a/internal/processtest/execute_test.go
+++ b/internal/processtest/execute_test.go
@@ -10,10 +10,12 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
+var payoutTargets = []model.TargetID{"payouts-00", "payouts-01", "payouts-02"}
+
 // runs counts the executions of an operation that the targets have recorded.
 func (c *Cluster) runs(id string) int {
 	count := 0
-	for _, target := range []model.TargetID{"payouts-00", "payouts-01", "payouts-02"} {
+	for _, target := range payoutTargets {
 		for _, record := range c.Records(target) {
 			if record.Ran && strings.Contains(record.Payload, id) {
 				count++
@@ -44,3 +46,31 @@
 	}
 	require.Equal(t, 1, c.runs("first"))
 }
+
+// TestOperationOfDeathIsQuarantined guards against an operation that crashes its target and is sent again by its caller.
+func TestOperationOfDeathIsQuarantined(t *testing.T) {
+	c := Start(t, Small(1))
+	host := c.Hosts[0]
+	for _, target := range payoutTargets {
+		c.SetPoison(target, "death")
+	}
+	send := func(id string) *fault.Error {
+		text, refusal := host.Ticket()
+		require.Nil(t, refusal)
+		return host.Execute(text, id)
+	}
+	c.await("the operation is quarantined", func() bool {
+		refusal := send("death")
+		require.NotNil(t, refusal)
+		return refusal.Kind == fault.Quarantined
+	})
+	refusal := send("death")
+	require.Equal(t, fault.Quarantined, refusal.Kind)
+	require.Equal(t, fault.NotRun, refusal.Execution)
+	require.Positive(t, refusal.RetryAfterMS)
+	ran := c.runs("death")
+	require.GreaterOrEqual(t, ran, 2, "two targets are lost before the quarantine")
+	require.LessOrEqual(t, ran, 4)
+	c.await("the targets are back", func() bool { return send("harmless") == nil })
+	require.Equal(t, ran, c.runs("death"))
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -30,17 +30,10 @@
 // targetLost makes suspects of the requests in flight at a target, and reports them to the other hosts. Later calls for
 // the same run of the target change nothing, unless further requests were in flight.
 func (s *State) targetLost(now time.Duration, target model.TargetID, incarnation model.Incarnation) {
-	if s.draining[target] || len(s.inFlight[target]) == 0 {
+	report := Report{Host: s.self, Target: target, Incarnation: incarnation, Entries: s.present(target)}
+	if s.draining[target] || len(report.Entries) == 0 {
 		return
 	}
-	report := Report{Host: s.self, Target: target, Incarnation: incarnation}
-	for _, a := range s.inFlight[target] {
-		entry := Entry{Fingerprint: a.Fingerprint, Caller: a.Caller, Alone: a.Alone}
-		known := slices.ContainsFunc(report.Entries, func(e Entry) bool { return e.Fingerprint == a.Fingerprint })
-		if !known && len(report.Entries) < maxSuspectsPerLoss {
-			report.Entries = append(report.Entries, entry)
-		}
-	}
 	isNew := s.learn(now, report)
 	for _, entry := range report.Entries {
 		if found, ok := s.suspects.get(entry.Fingerprint); ok && isNew {
@@ -54,6 +47,18 @@
 	}
 }
 
+// present returns the requests in flight at a target, each once.
+func (s *State) present(target model.TargetID) []Entry {
+	var entries []Entry
+	for _, a := range s.inFlight[target] {
+		known := slices.ContainsFunc(entries, func(e Entry) bool { return e.Fingerprint == a.Fingerprint })
+		if !known && !a.afterLoss && len(entries) < maxSuspectsPerLoss {
+			entries = append(entries, Entry{Fingerprint: a.Fingerprint, Caller: a.Caller, Alone: a.Alone})
+		}
+	}
+	return entries
+}
+
 // learn adds a report to the evidence. It tells whether the report named a request that was not known to have been there,
 // or to have run alone.
 func (s *State) learn(now time.Duration, report Report) bool {
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -64,3 +64,18 @@
 	s.Step(0, Message{Report: &Report{Host: "other", Target: "b", Incarnation: 1, Entries: entries}})
 	require.Equal(t, Alone, s.Admit(0, 1).Verdict)
 }
+
+// TestLostTargetAccusesNobodyTwice guards against requests that become suspects because they were sent to a target which
+// had crashed before.
+func TestLostTargetAccusesNobodyTwice(t *testing.T) {
+	s := New("h")
+	lose(s, "a", 1, 0)
+	id := model.AttemptID{Sequence: 9}
+	s.Started(Attempt{ID: id, Target: "a", Fingerprint: 7})
+	s.Lost(0, id, "a")
+	require.Equal(t, Normal, s.Admit(0, 7).Verdict)
+	s.Seen(0, "a", 2)
+	s.Started(Attempt{ID: id, Target: "a", Fingerprint: 7})
+	s.Lost(0, id, "a")
+	require.Equal(t, Alone, s.Admit(0, 7).Verdict, "the next run of the target counts again")
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -375,7 +375,7 @@
 	require.LessOrEqual(t, s.Statistics(0).Suspects, maxEntries)
 	require.LessOrEqual(t, s.Statistics(0).Losses, maxEntries)
 	s.Drain()
-	s.Draining("a")
+	s.Draining("a", true)
 	s.Started(Attempt{Target: "a", Fingerprint: 1})
 	s.Lost(0, model.AttemptID{}, "a")
 	require.Empty(t, s.Drain(), "the end of a draining target is no loss")
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -72,6 +72,10 @@
 	Fingerprint Fingerprint
 	// Alone tells that the attempt is the only one of its request.
 	Alone bool
+
+	// afterLoss tells that the target's present run was known to be lost at the start, so that a further loss of a
+	// connection there is no evidence.
+	afterLoss bool
 }
 
 // State holds what a host knows. It is not safe for concurrent use. Times are since process start.
@@ -137,6 +141,7 @@
 
 // Started takes an attempt that is about to be sent.
 func (s *State) Started(a Attempt) {
+	_, a.afterLoss = s.losses.get(lossKey{a.Target, s.runs[a.Target]})
 	at := s.inFlight[a.Target]
 	if at == nil {
 		at = map[model.AttemptID]Attempt{}
@@ -178,8 +183,14 @@
 	delete(s.draining, target)
 }
 
-// Draining takes the sign that a target leaves. Its end is no loss then.
-func (s *State) Draining(target model.TargetID) { s.draining[target] = true }
+// Draining takes a target's statement whether it is leaving. If it is, its end is no loss.
+func (s *State) Draining(target model.TargetID, draining bool) {
+	if draining {
+		s.draining[target] = true
+		return
+	}
+	delete(s.draining, target)
+}
 
 // Forget drops the state of targets that are not in the catalogue any more.
 func (s *State) Forget(known func(model.TargetID) bool) {
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -42,12 +42,15 @@
 		Targets:   s.ports.Targets,
 		Transport: transport,
 		View:      localView{s},
+		Guard:     s.guard,
 	}
 	if view != nil {
+		s.guard.connect(view.Publish, view.Subscribe)
 		cfg.View = view
 		cfg.Announce = func(move execute.Move) { s.announceMove(view, move) }
 	}
 	engine := execute.New(s.logger, cfg)
+	s.operator.dumps.Add("quarantine", func() any { return s.guard.statistics() })
 	s.operator.dumps.Add("tickets", func() any { return engine.Statistics() })
 	if view == nil {
 		return engine
--- /dev/null
+++ b/internal/server/quarantine_test.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/rumor"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+// crashTwo lets a request crash two targets through the guard.
+func crashTwo(t *testing.T, g *guard, caller model.CallerID, fingerprint uint64) {
+	for i, target := range []model.TargetID{"a", "b"} {
+		g.seen(model.TargetStatus{Target: target, Incarnation: model.Incarnation(fingerprint)})
+		_, end, err := g.Admit(context.Background(), caller, fingerprint)
+		require.NoError(t, err)
+		id := model.AttemptID{Sequence: uint64(i)}
+		g.Started(id, target, caller, fingerprint)
+		g.Ended(id, target, 0, targetclient.ErrLost)
+		end(false)
+	}
+}
+
+// TestGuardsShareWhatTheyKnow guards against a request of death that gets as far at each host as at the first.
+func TestGuardsShareWhatTheyKnow(t *testing.T) {
+	var receive func(rumor.Notice)
+	first, second := newGuard(zap.NewNop(), "first"), newGuard(zap.NewNop(), "second")
+	second.connect(func(rumor.Notice) {}, func(_ rumor.Topic, f func(rumor.Notice)) { receive = f })
+	first.connect(func(n rumor.Notice) { receive(n) }, func(rumor.Topic, func(rumor.Notice)) {})
+	crashTwo(t, first, "careless", 1)
+	for _, g := range []*guard{first, second} {
+		_, _, err := g.Admit(context.Background(), "other", 1)
+		require.True(t, fault.IsKind(err, fault.Quarantined))
+		require.Equal(t, fault.NotRun, fault.As(err).Execution)
+		require.Positive(t, fault.As(err).RetryAfterMS)
+	}
+}
+
+// TestGuardCutsTheGrant guards against a caller that goes on with ever new requests of death at its whole rate.
+func TestGuardCutsTheGrant(t *testing.T) {
+	g := newGuard(zap.NewNop(), "h")
+	for fingerprint := range uint64(4) {
+		crashTwo(t, g, "careless", fingerprint+1)
+	}
+	admitted := 0
+	for range 100 {
+		if _, end, err := g.Admit(context.Background(), "careless", 99); err == nil {
+			end(true)
+			admitted++
+		}
+	}
+	require.Equal(t, 10, admitted)
+	_, _, err := g.Admit(context.Background(), "other", 99)
+	require.NoError(t, err)
+}
+
+// TestSuspectWaitsForItsTurn guards against refusals of an innocent request that many callers send while it runs alone.
+func TestSuspectWaitsForItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGuard(zap.NewNop(), "h")
+		g.seen(model.TargetStatus{Target: "a", Incarnation: 1})
+		g.Started(model.AttemptID{}, "a", "c", 1)
+		g.Ended(model.AttemptID{}, "a", 0, targetclient.ErrLost)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		alone, end, err := g.Admit(ctx, "c", 1)
+		require.NoError(t, err)
+		require.True(t, alone)
+		time.AfterFunc(100*time.Millisecond, func() { end(true) })
+		alone, _, err = g.Admit(ctx, "c", 1)
+		require.NoError(t, err)
+		require.False(t, alone, "the clean run has cleared it")
+	})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,7 @@
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
 	operator  *operatorState
+	guard     *guard
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -71,6 +72,7 @@
 		inventory: reports,
 		engine:    query.New(ports.Targets, reports, incarnation),
 		operator:  newOperatorState(incarnation),
+		guard:     newGuard(logger, s.HostID),
 	}
 }
 
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -31,6 +31,7 @@
 			status, err := s.ports.Targets.Status(ctx, target)
 			if err == nil {
 				s.inventory.Put(status)
+				s.guard.seen(status)
 			}
 		})
 	}
