Estimate the latency of each work on its own, and let estimates fade

Cause: one mean over all requests lets slow operations refuse quick searches as too late, and an estimate above all deadlines refuses every request, so that no sample ever corrects it. Ruled out: a controller per search and service, because callers would then not share the host fairly between them. Change: admission.Request names its work; estimates are kept per work, bounded, and halve for each second without a sample. Shown failing: go test ./internal/admission without the fading: '"10s" is not less than "10s"' in TestRefusalsEndAfterASlowTime; with one estimate for all works TestSlowWorkDelaysNoOtherWork fails.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,6 +18,8 @@
 	ID     uint64
 	Caller model.CallerID
 	Class  model.Class
+	// Work names what the request asks for, a search or a service. Requests of the same work take about the same time.
+	Work string
 	// Cost is the number of target attempts that the request needs first.
 	Cost float64
 	// Deadline is the time since process start at which the caller stops waiting.
@@ -100,7 +102,9 @@
 	callers map[model.CallerID]*callerQueue
 	// virtual is the virtual time of the fair queue: the tag of the request that was started last.
 	virtual float64
-	latency time.Duration
+	// latency is the estimate over all requests, works that over the requests of each work.
+	latency estimate
+	works   map[string]estimate
 }
 
 // New returns a controller of a valid configuration.
@@ -109,27 +113,29 @@
 		cfg:     cfg,
 		limiter: concurrency.New(cfg.Running),
 		callers: map[model.CallerID]*callerQueue{},
-		latency: cfg.Latency,
+		latency: estimate{mean: cfg.Latency},
+		works:   map[string]estimate{},
 	}
 }
 
 // Offer decides about a new request.
 func (c *Controller) Offer(now time.Duration, r Request) Decision {
 	queue := c.queueOf(r)
+	latency := c.latencyOf(now, r.Work)
 	if c.waiting == 0 && c.running < c.limiter.Limit() {
 		// A host with free slots tries a tight deadline too: about half of the mean is the fastest that requests run.
-		if now+c.latency/2 > r.Deadline {
-			return Decision{Verdict: TooLate, Wait: c.latency}
+		if now+latency/2 > r.Deadline {
+			return Decision{Verdict: TooLate, Wait: latency}
 		}
 		c.charge(queue, r.Cost)
 		c.running++
 		return Decision{Verdict: Started}
 	}
-	wait := c.estimateWait(queue)
+	wait := c.estimateWait(now, queue)
 	switch {
 	case len(queue.requests) >= c.cfg.QueuePerCaller:
 		return Decision{Verdict: QueueFull, Wait: wait}
-	case now+wait+c.latency > r.Deadline:
+	case now+wait+latency > r.Deadline:
 		return Decision{Verdict: TooLate, Wait: wait}
 	}
 	heap.Push(&queue.requests, r)
@@ -137,19 +143,16 @@
 	return Decision{Verdict: Queued, Wait: wait}
 }
 
-// Finish takes the end of a running request and returns the requests that start now.
-func (c *Controller) Finish(now, latency time.Duration, outcome concurrency.Outcome) []Request {
+// Finish takes the end of a running request of a work and returns the requests that start now.
+func (c *Controller) Finish(now time.Duration, work string, latency time.Duration, outcome concurrency.Outcome) []Request {
 	c.limiter.Observe(now, latency, c.running, outcome)
 	c.running--
 	if outcome == concurrency.Success {
-		c.latency += (latency - c.latency) / latencyWeight
+		c.learn(now, work, latency)
 	}
 	return c.startNext(now)
 }
 
-// latencyWeight is the number of requests over which the latency estimate follows a change.
-const latencyWeight = 32
-
 // Expire removes the waiting requests that can't end before their deadline any more and returns them.
 func (c *Controller) Expire(now time.Duration) []Request {
 	var expired []Request
@@ -187,7 +190,7 @@
 		Limit:   c.limiter.Limit(),
 		Waiting: c.waiting,
 		Callers: len(c.callers),
-		Latency: c.latency,
+		Latency: c.latency.mean,
 	}
 }
 
@@ -242,7 +245,9 @@
 
 // isTooLate tells whether a request that waited can't be expected to end in time. At a saturated host its slot is worth
 // more to another request.
-func (c *Controller) isTooLate(now time.Duration, r Request) bool { return now+c.latency > r.Deadline }
+func (c *Controller) isTooLate(now time.Duration, r Request) bool {
+	return now+c.latencyOf(now, r.Work) > r.Deadline
+}
 
 func (c *Controller) pop(queue *callerQueue) Request {
 	c.waiting--
@@ -251,14 +256,14 @@
 
 // estimateWait returns the time until one more request of the caller would start: the requests before it, divided by the
 // caller's share of the rate at which the host ends requests.
-func (c *Controller) estimateWait(queue *callerQueue) time.Duration {
+func (c *Controller) estimateWait(now time.Duration, queue *callerQueue) time.Duration {
 	weight := queue.weight
 	for _, other := range c.callers {
 		if other != queue && len(other.requests) > 0 {
 			weight += other.weight
 		}
 	}
-	perSecond := float64(c.limiter.Limit()) / c.latency.Seconds() * queue.weight / weight
+	perSecond := float64(c.limiter.Limit()) / c.latency.at(now).Seconds() * queue.weight / weight
 	return time.Duration(float64(len(queue.requests)+1) / perSecond * float64(time.Second))
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -22,7 +22,7 @@
 // scheduler is the controller, or the naive version that the tests compare it with.
 type scheduler interface {
 	Offer(now time.Duration, r Request) Decision
-	Finish(now, latency time.Duration, outcome concurrency.Outcome) []Request
+	Finish(now time.Duration, work string, latency time.Duration, outcome concurrency.Outcome) []Request
 	Expire(now time.Duration) []Request
 }
 
@@ -41,7 +41,7 @@
 	return Decision{Verdict: Queued}
 }
 
-func (f *fifo) Finish(now, _ time.Duration, _ concurrency.Outcome) []Request {
+func (f *fifo) Finish(now time.Duration, _ string, _ time.Duration, _ concurrency.Outcome) []Request {
 	f.running--
 	if len(f.queue) == 0 {
 		return nil
@@ -96,7 +96,7 @@
 			result[r.Caller].refused++
 		}
 		for range ends[now] {
-			for _, r := range s.Finish(now, service, concurrency.Success) {
+			for _, r := range s.Finish(now, "", service, concurrency.Success) {
 				start(now, r)
 			}
 		}
@@ -165,7 +165,7 @@
 			}
 		}
 		for range slots {
-			for _, r := range c.Finish(now, service, concurrency.Success) {
+			for _, r := range c.Finish(now, "", service, concurrency.Success) {
 				started[r.Caller]++
 			}
 		}
@@ -185,10 +185,40 @@
 	c.Expire(2 * time.Hour)
 	require.Zero(t, c.Load().Waiting)
 	for range slots {
-		c.Finish(2*time.Hour, service, concurrency.Success)
+		c.Finish(2*time.Hour, "", service, concurrency.Success)
 	}
 	c.Offer(2*time.Hour, Request{ID: 1, Caller: "other", Cost: 1e6, Deadline: 3 * time.Hour})
 	c.Offer(2*time.Hour, Request{ID: 2, Caller: "other", Cost: 1, Deadline: 3 * time.Hour})
 	c.Forget()
 	require.Equal(t, 1, c.Load().Callers)
 }
+
+// TestSlowWorkDelaysNoOtherWork guards against an operation that takes long and makes the host refuse quick searches as too
+// late.
+func TestSlowWorkDelaysNoOtherWork(t *testing.T) {
+	c := fixed()
+	now := time.Duration(0)
+	for range 1000 {
+		now += 10 * time.Millisecond
+		require.Equal(t, Started, c.Offer(now, Request{Work: "slow", Deadline: now + 10*time.Second}).Verdict)
+		c.Finish(now, "slow", 2*time.Second, concurrency.Success)
+		require.Equal(t, Started, c.Offer(now, Request{Work: "quick", Deadline: now + 80*time.Millisecond}).Verdict)
+		c.Finish(now, "quick", service, concurrency.Success)
+	}
+}
+
+// TestRefusalsEndAfterASlowTime guards against an estimate that refuses everything, and so never learns that the host is
+// quick again.
+func TestRefusalsEndAfterASlowTime(t *testing.T) {
+	c := fixed()
+	for range 1000 {
+		c.Offer(0, Request{Work: "parts", Deadline: 10 * time.Second})
+		c.Finish(0, "parts", 5*time.Second, concurrency.Success)
+	}
+	refused := time.Duration(0)
+	for c.Offer(refused, Request{Work: "parts", Deadline: refused + 80*time.Millisecond}).Verdict == TooLate {
+		refused += 100 * time.Millisecond
+		require.Less(t, refused, 10*time.Second)
+	}
+	require.Positive(t, refused)
+}
