Admit searches and operations in a fair order

Cause: the order of a saturated host was decided nowhere: each request ran at once, so a careless caller slowed all others. Ruled out: an adaptive limit on running requests. Change: internal/server/admission.go waits for the controller, with the limits over all hosts in front of it once they are wired; callerapi takes the wait off the search's deadlines; the execute path admits at the holder of the ledger, where a refusal can say 'not run'. Every refusal carries retry_after_ms. Shown failing: in TestCarelessCallerDelaysNoOtherThroughTheHost the naive order of arrival delays the calm caller's p99 by more than 500 ms of virtual time; the admitter by at most 50 ms, without a refusal. Conclusion: tests of server, execute, callerapi and processtest pass with the race detector.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -61,6 +62,7 @@
 	catalogues Catalogues
 	observer   *observer
 	executor   Executor
+	admission  execute.Admission
 
 	authenticator authenticator
 }
@@ -103,7 +105,7 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-func (a *API) answer(w http.ResponseWriter, r *http.Request) (SearchReply, error) {
+func (a *API) answer(w http.ResponseWriter, r *http.Request) (reply SearchReply, err error) {
 	catalogue := a.catalogues.Catalogue()
 	if catalogue == nil {
 		return SearchReply{}, errNotReady()
@@ -121,6 +123,11 @@
 		return SearchReply{}, fault.New(fault.Forbidden, fault.NotRun,
 			"ask the operators to grant the search", "caller %s may not use search %q", caller.ID, request.Search)
 	}
+	end, err := a.admit(r, catalogue, caller, &request)
+	if err != nil {
+		return SearchReply{}, err
+	}
+	defer func() { end(err) }()
 	result, err := a.searcher.Search(r.Context(), catalogue, query.Request{
 		Search:      request.Search,
 		Query:       request.Query,
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -39,6 +39,14 @@
 	Ended(attempt model.AttemptID, target model.TargetID, incarnation model.Incarnation, err error)
 }
 
+// Admission decides when a request may run.
+type Admission interface {
+	// Admit waits until the request may run, or refuses it with a *fault.Error of execution "not run". work names the
+	// service or search, cost is the number of target attempts that it needs first. The context's deadline is the
+	// caller's. end is called once with the error of the request.
+	Admit(ctx context.Context, caller model.Caller, work string, cost float64) (end func(error), err error)
+}
+
 // Config describes an engine.
 type Config struct {
 	// Self is this run of this host; Address is the IP:port of its peer listener.
@@ -51,8 +59,8 @@
 	View      View
 	// Gate decides which targets get work; nil lets all.
 	Gate gate.TargetGate
-	// Limits holds callers to their limits; nil means no limit.
-	Limits gate.CallerLimits
+	// Admission holds callers to their limits and orders their requests; nil admits all.
+	Admission Admission
 	// Guard is nil when no quarantine is kept.
 	Guard Guard
 	// Announce spreads a move of ledgers to all hosts; nil means that nobody hears of it.
--- a/internal/execute/holder.go
+++ b/internal/execute/holder.go
@@ -85,18 +85,25 @@
 	case e.cfg.View.Fenced():
 		return nil, fault.New(fault.CutOff, fault.NotRun, remedyNewTicket, "this host may be cut off from changes")
 	}
-	service, err := allowedService(catalogue, op.Ticket)
+	caller, service, err := allowed(catalogue, op.Ticket)
 	if err != nil {
 		return nil, err
 	}
-	deadline, _ := ctx.Deadline()
-	if e.cfg.Limits != nil {
-		release, err := e.cfg.Limits.Take(op.Ticket.Caller, 1, deadline)
-		if err != nil {
-			return nil, err
-		}
-		defer release()
+	if e.cfg.Admission == nil {
+		return e.guarded(ctx, op, service, catalogue)
+	}
+	end, err := e.cfg.Admission.Admit(ctx, caller, string(service.ID), 1)
+	if err != nil {
+		return nil, err
 	}
+	result, err := e.guarded(ctx, op, service, catalogue)
+	end(err)
+	return result, err
+}
+
+// guarded sends the operation unless it is known to crash targets.
+func (e *Engine) guarded(ctx context.Context, op operation, service model.Service, catalogue *model.Catalogue) ([]byte, error) {
+	deadline, _ := ctx.Deadline()
 	s := &sending{engine: e, op: op, deadline: deadline, repeatable: service.Repeatable}
 	targets := targetsOf(catalogue, e.order(service.Targets))
 	if e.cfg.Guard == nil {
@@ -115,18 +122,19 @@
 // remedyNewTicket follows from outcomes being final: the refused ticket is spent.
 const remedyNewTicket = "get a ticket from another host and send the operation with it"
 
-func allowedService(catalogue *model.Catalogue, t ticket.Ticket) (model.Service, error) {
+// allowed returns the ticket's caller and service, if the catalogue in force grants the one to the other.
+func allowed(catalogue *model.Catalogue, t ticket.Ticket) (model.Caller, model.Service, error) {
 	at := slices.IndexFunc(catalogue.Services, func(s model.Service) bool { return s.ID == t.Service })
 	if at < 0 {
-		return model.Service{}, fault.New(fault.NotFound, fault.NotRun,
+		return model.Caller{}, model.Service{}, fault.New(fault.NotFound, fault.NotRun,
 			"name a service of the catalogue", "there is no service %q", t.Service)
 	}
 	for _, caller := range catalogue.Callers {
 		if caller.ID == t.Caller && slices.Contains(caller.Services, t.Service) {
-			return catalogue.Services[at], nil
+			return caller, catalogue.Services[at], nil
 		}
 	}
-	return model.Service{}, fault.New(fault.Forbidden, fault.NotRun,
+	return model.Caller{}, model.Service{}, fault.New(fault.Forbidden, fault.NotRun,
 		"ask the operators to grant the service", "caller %s may not use service %q", t.Caller, t.Service)
 }
 
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -43,6 +43,7 @@
 		Transport: transport,
 		View:      localView{s},
 		Guard:     s.guard,
+		Admission: s.admitter,
 	}
 	if view != nil {
 		s.guard.connect(view.Publish, view.Subscribe)
@@ -50,6 +51,7 @@
 		cfg.Announce = func(move execute.Move) { s.announceMove(view, move) }
 	}
 	engine := execute.New(s.logger, cfg)
+	s.operator.dumps.Add("admission", func() any { return s.admitter.load() })
 	s.operator.dumps.Add("quarantine", func() any { return s.guard.statistics() })
 	s.operator.dumps.Add("tickets", func() any { return engine.Statistics() })
 	if view == nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -41,6 +41,7 @@
 	catalogue atomic.Pointer[model.Catalogue]
 	operator  *operatorState
 	guard     *guard
+	admitter  *admitter
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -73,6 +74,7 @@
 		engine:    query.New(ports.Targets, reports, incarnation),
 		operator:  newOperatorState(incarnation),
 		guard:     newGuard(logger, s.HostID),
+		admitter:  newAdmitter(nil),
 	}
 }
 
@@ -91,6 +93,7 @@
 	}
 	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
 	api.SetExecutor(s.newExecutor(s.operator.incarnation, nil, nil))
+	api.SetAdmission(s.admitter)
 	httpServer := &http.Server{
 		Handler:           api.Handler(),
 		ReadTimeout:       readTimeout,
@@ -101,6 +104,7 @@
 	var duties conc.WaitGroup
 	duties.Go(func() { s.followConfiguration(ctx) })
 	duties.Go(func() { s.pollStatuses(ctx) })
+	duties.Go(func() { s.admitter.run(ctx) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
 		<-ctx.Done()
