Bound forwarded operations, idle connections and headers

Cause: a caller whose operations are slow could use up the handlers that a host has for the frames of one peer, which control frames need too; and the listener closed idle connections after 2 s, which can cut the next request of a kept connection. Idle connections stay 2 minutes, headers are bounded at 16 KiB. White space in queries and payloads no longer changes a request's fingerprint. Shown failing: without the bound TestForwardsAreBounded ends with "deadlock: all goroutines in bubble are blocked", because the request over the bound waits for the other host too. Conclusion: with the bound it is refused at once.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -149,6 +149,7 @@
 	if err := request.checkNames(); err != nil {
 		return request, err
 	}
+	request.Query = compact(request.Query)
 	if request.DeadlineMS <= 0 || request.DeadlineMS > model.MaxDeadline.Milliseconds() {
 		return request, fault.New(fault.BadRequest, fault.NotRun,
 			"send deadline_ms from 1 to 10000", "deadline_ms is %d", request.DeadlineMS)
--- a/internal/callerapi/decode.go
+++ b/internal/callerapi/decode.go
@@ -63,6 +63,15 @@
 	return nil
 }
 
+// compact removes white space from a valid document, so that it is recognized however it was laid out.
+func compact(document json.RawMessage) json.RawMessage {
+	var buffer bytes.Buffer
+	if err := json.Compact(&buffer, document); err != nil {
+		return document
+	}
+	return buffer.Bytes()
+}
+
 // depth returns the greatest number of objects and arrays that are open at once.
 func depth(body []byte) int {
 	open, deepest := 0, 0
--- a/internal/callerapi/execute.go
+++ b/internal/callerapi/execute.go
@@ -118,7 +118,7 @@
 	result, err := a.executor.Execute(r.Context(), caller, execute.Request{
 		Ticket:    request.Ticket,
 		Operation: request.Operation,
-		Payload:   request.Payload,
+		Payload:   compact(request.Payload),
 		Deadline:  time.Duration(request.DeadlineMS) * time.Millisecond,
 	})
 	return ExecuteReply{Execution: fault.Ran, Result: result}, err
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -82,11 +82,12 @@
 	identity model.Incarnation
 	sequence atomic.Uint64
 
-	mu sync.Mutex // guards book, moves and active
+	mu sync.Mutex // guards what follows
 	// active counts the operations that this host executes.
-	active int
-	book   *ticket.Book
-	moves  moves
+	active   int
+	forwards forwards
+	book     *ticket.Book
+	moves    moves
 }
 
 // New returns an engine and registers its handlers at the transport, which must not have started.
@@ -96,6 +97,9 @@
 		cfg:    cfg,
 		book:   ticket.New(ticket.DefaultConfig(cfg.Self, cfg.Address)),
 		moves:  moves{to: map[ticket.Origin]Move{}},
+		forwards: forwards{
+			toHost: map[string]int{}, ofCaller: map[model.CallerID]int{},
+		},
 	}
 	e.identity = identity(cfg.Self)
 	if cfg.Transport != nil {
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
@@ -238,3 +239,28 @@
 	requireExecution(t, fault.OutcomeUnknown, f.execute(1, r))
 	require.Empty(t, f.targets.sent)
 }
+
+// TestForwardsAreBounded guards against a caller whose slow operations use up the handlers that hosts need for control.
+func TestForwardsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		answer := make(chan struct{})
+		f.bus.handlers["h0"][KindForward] = func(context.Context, peer.Sender, func(any) error) (any, error) {
+			<-answer
+			return forwarded{}, nil
+		}
+		var requests conc.WaitGroup
+		for range maxForwardsOfCaller {
+			r := f.request(t, 0, "payouts")
+			requests.Go(func() { requireExecution(t, fault.OutcomeUnknown, f.execute(1, r)) })
+		}
+		synctest.Wait()
+		err := f.execute(1, f.request(t, 0, "payouts"))
+		require.ErrorIs(t, err, errForwards)
+		requireExecution(t, fault.OutcomeUnknown, err)
+		close(answer)
+		requests.Wait()
+		require.Empty(t, f.hosts[1].forwards.toHost)
+		require.Empty(t, f.hosts[1].forwards.ofCaller)
+	})
+}
--- a/internal/execute/forward.go
+++ b/internal/execute/forward.go
@@ -146,6 +146,10 @@
 	if e.cfg.Transport == nil {
 		return reply, peer.ErrNotSent
 	}
+	if !e.enterForward(address, op.Ticket.Caller) {
+		return reply, errForwards
+	}
+	defer e.leaveForward(address, op.Ticket.Caller)
 	deadline, _ := ctx.Deadline()
 	op.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
 	err := e.cfg.Transport.Call(ctx, address, KindForward, op, &reply)
@@ -157,7 +161,7 @@
 func unreachable(err error) ticket.Outcome {
 	return unknown(fault.Wrap(err, fault.Unavailable, fault.OutcomeUnknown,
 		"send the same request with the same ticket again; it runs at most once",
-		"the host that holds the ticket did not answer"))
+		"the host that holds the ticket did not answer").WithRetryAfter(runningRetryAfter))
 }
 
 // checked turns an outcome without a valid state into an unknown one.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -29,6 +29,9 @@
 	statusPollInterval = 250 * time.Millisecond
 	statusTimeout      = 200 * time.Millisecond
 	connectionsPerHost = 4
+	// idleTimeout is longer than usual balancers keep idle connections, so that a request doesn't meet a closing one.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
 )
 
 // Server is one host's process.
@@ -98,6 +101,8 @@
 		Handler:           api.Handler(),
 		ReadTimeout:       readTimeout,
 		ReadHeaderTimeout: readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
