Hand the ledgers over when a host is taken out of service

Cause: a host that operators have taken out went on executing the tickets that it had issued. Ruled out: keeping the closed ledger and opening it again on return, because its successor may have executed its tickets. Change: the ledgers go to another host when the catalogue takes this host or its data centre out; on return an empty ledger of a higher incarnation starts. A second hand-over names no other successor. Ledgers are followed over up to 64 stops. The duty runs once the control loop is wired.

--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -86,8 +86,10 @@
 	// active counts the operations that this host executes.
 	active   int
 	forwards forwards
-	book     *ticket.Book
-	moves    moves
+	// self is the origin of the tickets that this host issues now.
+	self  ticket.Origin
+	book  *ticket.Book
+	moves moves
 }
 
 // New returns an engine and registers its handlers at the transport, which must not have started.
@@ -95,6 +97,7 @@
 	e := &Engine{
 		logger: logger,
 		cfg:    cfg,
+		self:   cfg.Self,
 		book:   ticket.New(ticket.DefaultConfig(cfg.Self, cfg.Address)),
 		moves:  moves{to: map[ticket.Origin]Move{}},
 		forwards: forwards{
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -216,6 +216,7 @@
 			f.hosts[host].HandOver(ctx, []string{"gone", fmt.Sprintf("h%d", host), fmt.Sprintf("h%d", host+1)})
 			cancel()
 		}
+		f.hosts[0].HandOver(context.Background(), []string{"h2"}) // a second call names no other successor
 		require.NoError(t, f.execute(2, used))
 		require.Len(t, f.targets.sent, 1)
 		for host := range f.hosts {
@@ -224,6 +225,17 @@
 		require.Len(t, f.targets.sent, 2)
 		_, err := f.hosts[0].Issue(payer.ID, "payouts")
 		requireExecution(t, fault.NotRun, err)
+
+		f.hosts[0].Reopen(2) // in service again: it takes the ledgers of the last host, its own former one included
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		f.hosts[2].HandOver(ctx, []string{"h0"})
+		for host := range f.hosts {
+			require.NoError(t, f.execute(host, used))
+			require.NoError(t, f.execute(host, fresh))
+		}
+		require.Len(t, f.targets.sent, 2)
+		require.NoError(t, f.execute(1, f.request(t, 0, "payouts")))
 	})
 }
 
--- a/internal/execute/forward.go
+++ b/internal/execute/forward.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/ticket"
@@ -22,14 +19,10 @@
 const (
 	// maxHops bounds the hosts that one request is forwarded to, one after the other.
 	maxHops = 4
+	// maxChain bounds the planned stops that a ledger is followed over.
+	maxChain = 64
 	// maxMoves bounds the known moves of ledgers. The oldest is forgotten: its tickets answer "outcome unknown".
 	maxMoves = 4096
-	// handoverCallTimeout bounds the wait for the reply to one chunk.
-	handoverCallTimeout = 500 * time.Millisecond
-	// idleTimeout leaves time for the chunks within the 5 s that a planned stop has for handing over.
-	idleTimeout = 3 * time.Second
-	idlePoll    = 10 * time.Millisecond
-	roundPause  = 50 * time.Millisecond
 )
 
 // operation is a request on its way to the host that holds its ledger. It is the body of KindForward.
@@ -49,15 +42,6 @@
 	Moved   *Move          `msgpack:"moved"`
 }
 
-// offer asks a host whether it would take ledgers over. The reply names its run.
-type offer struct{}
-
-// accepted is the reply to KindHandover.
-type accepted struct {
-	// Complete tells that the whole ledger has arrived.
-	Complete bool `msgpack:"complete"`
-}
-
 // Move tells that a stopping host gives its ledgers to a successor.
 type Move struct {
 	From      ticket.Origin `msgpack:"from"`
@@ -87,7 +71,7 @@
 // follow returns the last known move of a ledger.
 func (m *moves) follow(origin ticket.Origin) (Move, bool) {
 	move, found := m.to[origin]
-	for range maxHops {
+	for range maxChain {
 		next, further := m.to[move.Successor]
 		if !found || !further {
 			break
@@ -135,7 +119,7 @@
 	if move := e.movedTo(t.Origin); move != nil {
 		return move.Address
 	}
-	if t.Origin == e.cfg.Self {
+	if t.Address == e.cfg.Address {
 		return ""
 	}
 	return t.Address
@@ -195,7 +179,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.book.Holds(origin) {
-		origin = e.cfg.Self
+		origin = e.self
 	}
 	move, found := e.moves.follow(origin)
 	if !found {
@@ -203,116 +187,3 @@
 	}
 	return &move
 }
-
-// handleHandover answers another host's KindHandover.
-func (e *Engine) handleHandover(_ context.Context, _ peer.Sender, decode func(any) error) (any, error) {
-	var chunk ticket.Chunk
-	if err := decode(&chunk); err != nil {
-		return nil, err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	complete, err := e.book.Receive(chunk)
-	return accepted{Complete: complete}, err
-}
-
-// Close ends issue and execution on this host, for good. Operations in progress go on.
-func (e *Engine) Close() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.book.Close()
-}
-
-// HandOver closes the ledgers, waits for the operations in progress, and gives the ledgers to the first host of the
-// addresses that answers an offer. Once a chunk has been sent it never turns to another host.
-func (e *Engine) HandOver(ctx context.Context, addresses []string) {
-	e.Close()
-	e.awaitIdle(ctx)
-	successor, address := e.findSuccessor(ctx, addresses)
-	if address == "" {
-		e.logger.Warn("no host takes the ledgers over: their tickets answer outcome_unknown")
-		return
-	}
-	move := Move{From: e.cfg.Self, Successor: successor, Address: address}
-	e.mu.Lock()
-	e.moves.add(move)
-	chunks := e.book.Export(successor)
-	e.mu.Unlock()
-	if e.cfg.Announce != nil {
-		e.cfg.Announce(move)
-	}
-	unanswered := e.sendChunks(ctx, address, chunks)
-	e.logger.Info("ledgers handed over", zap.String("successor", string(successor.Host)),
-		zap.Int("chunks", len(chunks)), zap.Int("unanswered", unanswered))
-}
-
-func (e *Engine) findSuccessor(ctx context.Context, addresses []string) (ticket.Origin, string) {
-	for _, address := range addresses {
-		bounded, cancel := context.WithTimeout(ctx, handoverCallTimeout)
-		var successor ticket.Origin
-		err := e.cfg.Transport.Call(bounded, address, KindOffer, offer{}, &successor)
-		cancel()
-		if err == nil && successor != (ticket.Origin{}) && successor != e.cfg.Self {
-			return successor, address
-		}
-	}
-	return ticket.Origin{}, ""
-}
-
-// handleOffer answers another host's KindOffer. A host that is closing has no use for ledgers.
-func (e *Engine) handleOffer(context.Context, peer.Sender, func(any) error) (any, error) {
-	if e.Statistics().Closed {
-		return ticket.Origin{}, nil
-	}
-	return e.cfg.Self, nil
-}
-
-// sendChunks sends the chunks in rounds, so that a lost reply to one does not hold up the others. It returns the number
-// of those without an answer.
-func (e *Engine) sendChunks(ctx context.Context, address string, chunks []ticket.Chunk) int {
-	for {
-		var unanswered []ticket.Chunk
-		for _, chunk := range chunks {
-			if !e.sendChunk(ctx, address, chunk) {
-				unanswered = append(unanswered, chunk)
-			}
-		}
-		if chunks = unanswered; len(chunks) == 0 {
-			return 0
-		}
-		select {
-		case <-ctx.Done():
-			return len(chunks)
-		case <-time.After(roundPause):
-		}
-	}
-}
-
-// awaitIdle waits until no operation is in progress. One that takes longer is handed over with an unknown outcome.
-func (e *Engine) awaitIdle(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
-	defer cancel()
-	ticker := time.NewTicker(idlePoll)
-	defer ticker.Stop()
-	for e.isBusy() && ctx.Err() == nil {
-		<-ticker.C
-	}
-}
-
-func (e *Engine) isBusy() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.active > 0
-}
-
-// sendChunk tells whether the successor answered, which includes a refusal.
-func (e *Engine) sendChunk(ctx context.Context, address string, chunk ticket.Chunk) bool {
-	ctx, cancel := context.WithTimeout(ctx, handoverCallTimeout)
-	defer cancel()
-	var reply accepted
-	err := e.cfg.Transport.Call(ctx, address, KindHandover, chunk, &reply)
-	if errors.Is(err, peer.ErrFailed) {
-		e.logger.Warn("successor refused a part of a ledger", zap.Error(err))
-	}
-	return err == nil || errors.Is(err, peer.ErrFailed)
-}
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/rand"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -134,3 +136,33 @@
 	centreOut := slices.ContainsFunc(catalogue.DataCentresOut, func(d model.DataCentreOut) bool { return d.ID == m.DataCentre })
 	return hostOut || centreOut
 }
+
+const (
+	// servicePoll is the time between two looks whether this host is in service. Work ends 3 s after it is taken out.
+	servicePoll   = 250 * time.Millisecond
+	ledgerTimeout = 5 * time.Second
+)
+
+// followService hands the ledgers over when operators take this host or its data centre out of service, and starts an
+// empty one when it returns, until the context ends.
+func (s *Server) followService(ctx context.Context, engine *execute.Engine, view control.View) {
+	self := membership.Member{ID: s.settings.HostID, DataCentre: s.settings.DataCentre}
+	wasOut := false
+	for ; ctx.Err() == nil; pause(ctx, servicePoll) {
+		out := isOut(view.Catalogue(), self)
+		switch {
+		case out && !wasOut:
+			s.handOverLedgers(ctx, engine, view)
+		case wasOut && !out:
+			engine.Reopen(model.Incarnation(time.Now().UnixNano()))
+		}
+		wasOut = out
+	}
+}
+
+// handOverLedgers gives the ledgers to another host that is alive and in service.
+func (s *Server) handOverLedgers(ctx context.Context, engine *execute.Engine, view control.View) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	engine.HandOver(ctx, successors(s.settings.HostID, view.Members(), view.Catalogue()))
+}
--- a/internal/server/execute_test.go
+++ b/internal/server/execute_test.go
@@ -1,12 +1,21 @@
 package server
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/rumor"
+	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 )
 
 // TestSuccessorsAreInService guards against ledgers that go to a host which is about to stop as well.
@@ -25,3 +34,45 @@
 	}
 	require.Equal(t, []string{"alive"}, successors("self", members, catalogue))
 }
+
+// lonelyView is the view of a host without others, whose catalogue changes.
+type lonelyView struct {
+	control.View
+	catalogue atomic.Pointer[model.Catalogue]
+}
+
+func (v *lonelyView) Catalogue() *model.Catalogue               { return v.catalogue.Load() }
+func (v *lonelyView) Members() []membership.Member              { return nil }
+func (v *lonelyView) Subscribe(rumor.Topic, func(rumor.Notice)) {}
+func (v *lonelyView) setOut(hosts ...model.HostOut) {
+	v.catalogue.Store(&model.Catalogue{HostsOut: hosts})
+}
+
+// TestHostOutOfServiceIssuesNoTickets guards P4: a host that operators have taken out gets no new operations, and after its
+// return it issues tickets again.
+func TestHostOutOfServiceIssuesNoTickets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(zap.NewNop(), settings.Settings{HostID: "h1"}, Ports{})
+		view := &lonelyView{}
+		view.setOut()
+		engine := s.newExecutor(1, nil, view)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			s.followService(ctx, engine, view)
+		}()
+		_, err := engine.Issue("c", "payouts")
+		require.NoError(t, err)
+		view.setOut(model.HostOut{ID: "h1"})
+		time.Sleep(time.Second)
+		_, err = engine.Issue("c", "payouts")
+		require.True(t, fault.IsKind(err, fault.Stopping))
+		view.setOut()
+		time.Sleep(time.Second)
+		_, err = engine.Issue("c", "payouts")
+		require.NoError(t, err)
+		cancel()
+		<-ended
+	})
+}
