--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -18,6 +18,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
+	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 )
 
 // SearchRequest is the body of POST /v1/search.
@@ -53,7 +54,11 @@
 }
 
 // Catalogues gives the catalogue in force, or nil before the first.
-type Catalogues interface{ Catalogue() *model.Catalogue }
+type Catalogues interface {
+	Catalogue() *model.Catalogue
+	// Ready returns nil if this host takes new work, or the refusal to send.
+	Ready() error
+}
 
 // API serves callers.
 type API struct {
@@ -87,8 +92,8 @@
 }
 
 func (a *API) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	if a.catalogues.Catalogue() == nil {
-		writeError(w, errNotReady())
+	if err := a.catalogues.Ready(); err != nil {
+		writeError(w, fault.As(err))
 		return
 	}
 	writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
@@ -106,10 +111,10 @@
 }
 
 func (a *API) answer(w http.ResponseWriter, r *http.Request) (reply SearchReply, err error) {
-	catalogue := a.catalogues.Catalogue()
-	if catalogue == nil {
-		return SearchReply{}, errNotReady()
+	if err := a.catalogues.Ready(); err != nil {
+		return SearchReply{}, err
 	}
+	catalogue := a.catalogues.Catalogue()
 	caller, err := a.authenticator.authenticate(catalogue, r)
 	if err != nil {
 		return SearchReply{}, err
@@ -129,16 +134,26 @@
 	}
 	defer func() { end(err) }()
 	result, err := a.searcher.Search(r.Context(), catalogue, query.Request{
-		Search:      request.Search,
-		Query:       request.Query,
-		Limit:       request.Limit,
-		Deadline:    time.Duration(request.DeadlineMS) * time.Millisecond,
-		MinCoverage: request.MinCoverage,
+		Caller:       caller.ID,
+		Search:       request.Search,
+		Query:        request.Query,
+		Limit:        request.Limit,
+		Deadline:     time.Duration(request.DeadlineMS) * time.Millisecond,
+		SoftDeadline: time.Duration(request.SoftDeadlineMS) * time.Millisecond,
+		MinCoverage:  request.MinCoverage,
+		Mode:         scatter.Mode(request.Mode),
+		Snapshot:     request.Snapshot,
+		MinSnapshot:  request.MinSnapshot,
 	})
 	if err != nil {
 		return SearchReply{}, err
 	}
-	return SearchReply{Versions: result.Versions, Coverage: result.Coverage, Hits: result.Hits}, nil
+	return SearchReply{
+		Snapshot: result.Snapshot,
+		Versions: result.Versions,
+		Coverage: result.Coverage,
+		Hits:     result.Hits,
+	}, nil
 }
 
 func decodeSearch(w http.ResponseWriter, r *http.Request) (SearchRequest, error) {
@@ -154,6 +169,22 @@
 		return request, fault.New(fault.BadRequest, fault.NotRun,
 			"send deadline_ms from 1 to 10000", "deadline_ms is %d", request.DeadlineMS)
 	}
+	if request.SoftDeadlineMS < 0 || request.SoftDeadlineMS > request.DeadlineMS {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send soft_deadline_ms from 0 to deadline_ms", "soft_deadline_ms is %d", request.SoftDeadlineMS)
+	}
+	if request.MinCoverage < 0 || request.MinCoverage > 1 {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send min_coverage from 0 to 1", "min_coverage is %g", request.MinCoverage)
+	}
+	if !slices.Contains([]scatter.Mode{"", scatter.Fast, scatter.Full}, scatter.Mode(request.Mode)) {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			`send mode "fast" or "full"`, "mode is %q", request.Mode)
+	}
+	if request.Snapshot != "" && request.MinSnapshot != "" {
+		return request, fault.New(fault.BadRequest, fault.NotRun,
+			"send snapshot or min_snapshot, not both", "both snapshot and min_snapshot are given")
+	}
 	if request.Limit <= 0 || request.Limit > model.MaxResultLimit {
 		return request, fault.New(fault.BadRequest, fault.NotRun,
 			"send limit from 1 to 1000", "limit is %d", request.Limit)
@@ -168,10 +199,6 @@
 	return checkName("search", string(r.Search))
 }
 
-func errNotReady() *fault.Error {
-	return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
-}
-
 func writeError(w http.ResponseWriter, err *fault.Error) {
 	observeRefusal(w, err)
 	writeJSON(w, err.HTTPStatus(), ErrorReply{Error: err})
--- a/internal/callerapi/execute.go
+++ b/internal/callerapi/execute.go
@@ -39,6 +39,9 @@
 	Result    json.RawMessage `json:"result"`
 }
 
+// PathExecute is the path of operations. A host that refuses there before it has looked at the ledger sends Uncertain.
+const PathExecute = "/v1/execute"
+
 // Executor issues tickets and executes operations at most once.
 type Executor interface {
 	Issue(caller model.CallerID, service model.ServiceID) (string, error)
@@ -54,12 +57,12 @@
 		return
 	}
 	router.POST("/v1/tickets", a.observer.observe("tickets", a.handle(a.issue, func(err *fault.Error) *fault.Error { return err })))
-	router.POST("/v1/execute", a.observer.observe("execute", a.handle(a.execute, uncertain)))
+	router.POST(PathExecute, a.observer.observe("execute", a.handle(a.execute, Uncertain)))
 }
 
-// uncertain returns a refusal that makes no statement about the execution. A host that refuses before it has looked at
+// Uncertain returns a refusal that makes no statement about the execution. A host that refuses before it has looked at
 // the ledger can't know whether an earlier copy of the request ran, so it must not say "not run".
-func uncertain(err *fault.Error) *fault.Error {
+func Uncertain(err *fault.Error) *fault.Error {
 	changed := *err
 	changed.Execution = fault.OutcomeUnknown
 	return &changed
@@ -87,7 +90,7 @@
 func (a *API) authenticated(r *http.Request) (model.Caller, error) {
 	catalogue := a.catalogues.Catalogue()
 	if catalogue == nil {
-		return model.Caller{}, errNotReady()
+		return model.Caller{}, fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has no configuration yet")
 	}
 	return a.authenticator.authenticate(catalogue, r)
 }
@@ -105,6 +108,9 @@
 		return nil, fault.New(fault.Forbidden, fault.NotRun,
 			"ask the operators to grant the service", "caller %s may not use service %q", caller.ID, request.Service)
 	}
+	if err := a.catalogues.Ready(); err != nil {
+		return nil, err
+	}
 	text, err := a.executor.Issue(caller.ID, request.Service)
 	return TicketReply{Ticket: text}, err
 }
@@ -131,7 +137,7 @@
 		return request, err
 	}
 	if err != nil {
-		return request, uncertain(fault.As(err))
+		return request, Uncertain(fault.As(err))
 	}
 	if err := decodeStrict(body, &request); err != nil {
 		return request, err
--- a/internal/callerapi/hostile_test.go
+++ b/internal/callerapi/hostile_test.go
@@ -38,6 +38,8 @@
 
 func (t *tokens) Catalogue() *model.Catalogue { return t.catalogue }
 
+func (t *tokens) Ready() error { return nil }
+
 func twoTokens() *tokens {
 	return &tokens{&model.Catalogue{Callers: []model.Caller{{
 		ID: "c", Searches: []model.SearchID{"s"}, Services: []model.ServiceID{"pay"},
--- /dev/null
+++ b/internal/control/topology.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/configstate"
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// treeFanout is the number of children of an inner host in a pull tree. 354 hosts need three levels. Each host pulls twice
+// a second, from its two trees in turn, so an inner host answers 8 pulls a second.
+const treeFanout = 8
+
+// Seeds of the hashes that choose the relays and order the trees.
+const (
+	relaySeed = "relay/"
+	treeSeed  = "tree/"
+)
+
+func weight(seed string, id model.HostID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(seed) // a digest never fails
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
+
+func compareByWeight(seed string) func(a, b membership.Member) int {
+	return func(a, b membership.Member) int {
+		return cmp.Or(cmp.Compare(weight(seed, a.ID), weight(seed, b.ID)), cmp.Compare(a.ID, b.ID))
+	}
+}
+
+// topology is a host's place among those of its data centre.
+type topology struct {
+	// slot is the rank of this host among the relays, or -1.
+	slot   int
+	relays []membership.Member
+	// parents are the hosts to pull from, one for each tree.
+	parents []membership.Member
+}
+
+// newTopology computes the place of a host. members are those of its data centre, with it. Hosts that leave or are out of
+// service are neither relays nor inner hosts, unless there are no others.
+func newTopology(self membership.Member, members []membership.Member, out func(model.HostID) bool) topology {
+	serving := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
+		return m.State == membership.Leaving || out(m.ID)
+	})
+	if len(serving) == 0 {
+		serving = slices.Clone(members)
+	}
+	slices.SortFunc(serving, compareByWeight(relaySeed))
+	t := topology{slot: -1, relays: serving[:min(configstate.Relays, len(serving))]}
+	t.slot = slices.IndexFunc(t.relays, func(m membership.Member) bool { return m.ID == self.ID })
+	if t.slot >= 0 {
+		return t
+	}
+	ordered := serving[len(t.relays):]
+	slices.SortFunc(ordered, compareByWeight(treeSeed))
+	for _, relay := range t.relays {
+		t.parents = append(t.parents, parentOf(self, ordered, relay))
+		// The second tree has the reverse order, so that no host is an inner one in both.
+		slices.Reverse(ordered)
+	}
+	return t
+}
+
+// parentOf returns the parent of a host in the tree of the ordered hosts below a relay.
+func parentOf(self membership.Member, ordered []membership.Member, relay membership.Member) membership.Member {
+	place := slices.IndexFunc(ordered, func(m membership.Member) bool { return m.ID == self.ID })
+	if place < treeFanout {
+		return relay
+	}
+	return ordered[(place-treeFanout)/treeFanout]
+}
+
+// relaysOf returns the relays of every data centre but one.
+func relaysOf(members []membership.Member, without model.DataCentreID) []membership.Member {
+	byCentre := map[model.DataCentreID][]membership.Member{}
+	for _, m := range members {
+		if m.DataCentre == without || m.State == membership.Leaving {
+			continue
+		}
+		best := append(byCentre[m.DataCentre], m)
+		slices.SortFunc(best, compareByWeight(relaySeed))
+		byCentre[m.DataCentre] = best[:min(configstate.Relays, len(best))]
+	}
+	var relays []membership.Member
+	for _, best := range byCentre {
+		relays = append(relays, best...)
+	}
+	slices.SortFunc(relays, compareByWeight(relaySeed))
+	return relays
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,8 +12,13 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
-// MaxAttempts bounds the attempts that one record keeps. A query of 61 shards with hedges and a restart stays below it.
-const MaxAttempts = 256
+const (
+	// MaxAttempts bounds the attempts that one record keeps. A query of 61 shards with hedges and a restart stays below
+	// it.
+	MaxAttempts = 256
+	// MaxRefusals bounds the refused attempts that one record keeps.
+	MaxRefusals = 64
+)
 
 // Attempt is one attempt at a target.
 type Attempt struct {
@@ -21,15 +26,34 @@
 	Index   model.IndexID  `json:"index,omitempty"`
 	Shard   model.ShardID  `json:"shard,omitempty"`
 	Version model.Version  `json:"version,omitempty"`
-	// Role tells why the attempt was sent: first, hedge or retry.
+	// Role tells why the attempt was sent: first, replacement, retry, hedge or late_hedge.
 	Role string `json:"role"`
-	// StartMS and EndMS count from the start of the query, in milliseconds.
+	// ID is the id under which the target knows the attempt.
+	ID model.AttemptID `json:"attempt,omitzero"`
+	// StartMS and EndMS count from the start of the query, in milliseconds. EndMS is 0 while the attempt runs; it may be
+	// after the end of the query.
 	StartMS float64 `json:"start_ms"`
 	EndMS   float64 `json:"end_ms"`
-	// Result is "ok" or the reason of the failure.
+	// Cancelled tells that the target was asked to stop the attempt.
+	Cancelled bool `json:"cancelled,omitempty"`
+	// Result is "ok" or the reason of the failure; empty while the attempt runs.
 	Result string `json:"result"`
 }
 
+// Refusal is an attempt that was not sent.
+type Refusal struct {
+	// Target is empty if no target was chosen yet.
+	Target model.TargetID `json:"target,omitempty"`
+	Index  model.IndexID  `json:"index"`
+	Shard  model.ShardID  `json:"shard"`
+	// Role tells what the attempt was for.
+	Role string `json:"role"`
+	// Reason is in_flight_limit, queue, gate or budget.
+	Reason string `json:"reason"`
+	// AtMS counts from the start of the query, in milliseconds.
+	AtMS float64 `json:"at_ms"`
+}
+
 // Record tells how one query went.
 type Record struct {
 	QueryID   string         `json:"query_id"`
@@ -49,6 +73,13 @@
 	Attempts []Attempt                       `json:"attempts"`
 	// DroppedAttempts counts attempts over the bound of the record.
 	DroppedAttempts int `json:"dropped_attempts"`
+	// Mode is fast or full, Suspect tells that the query ran alone, Restarted that it restarted at a newer snapshot.
+	Mode      string `json:"mode,omitempty"`
+	Suspect   bool   `json:"suspect,omitempty"`
+	Restarted bool   `json:"restarted,omitempty"`
+	// Refusals are attempts that were not sent. DroppedRefusals counts those over the bound of the record.
+	Refusals        []Refusal `json:"refusals,omitempty"`
+	DroppedRefusals int       `json:"dropped_refusals,omitempty"`
 }
 
 // Query is a record in the making. Its methods are safe for concurrent use and do nothing on a nil Query.
@@ -94,6 +125,7 @@
 	defer q.mu.Unlock()
 	record := q.record
 	record.Attempts = append([]Attempt{}, record.Attempts...)
+	record.Refusals = append([]Refusal{}, record.Refusals...)
 	return record
 }
 
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"crypto/rand"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -12,30 +12,40 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/execute"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/rumor"
-	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 	"github.com/knapweedrouter/knapweedrouter/internal/ticket"
 )
 
-// localKeyBytes is the length of the key that seals tickets when no fleet key can be read.
-const localKeyBytes = 32
-
-// localView is the view of a host that knows no others.
-type localView struct{ server *Server }
-
-// Catalogue implements execute.View.
-func (v localView) Catalogue() *model.Catalogue { return v.server.Catalogue() }
+// joinExecute makes the engine of operations. It is called before the transport and the control loop start.
+func (s *Server) joinExecute(incarnation model.Incarnation) {
+	if s.fleet.control == nil {
+		return // the server does not start
+	}
+	s.executor = s.newExecutor(incarnation, s.fleet.transport, s.fleet.control)
+	s.operator.dumps.Add("admission", func() any { return s.admitter.load() })
+	s.operator.dumps.Add("quarantine", func() any { return s.guard.statistics() })
+	s.operator.dumps.Add("tickets", func() any { return s.executor.Statistics() })
+	s.stopHooks.handOver = append(s.stopHooks.handOver, func(ctx context.Context) {
+		s.handOverLedgers(ctx, s.executor, s.fleet.control)
+	})
+}
 
-// Fenced implements execute.View.
-func (v localView) Fenced() bool { return false }
+// refusalOf returns the refusal of a request that no subsystem has looked at.
+func refusalOf(r *http.Request, reason *fault.Error) *fault.Error {
+	if r.URL.Path == callerapi.PathExecute {
+		return callerapi.Uncertain(reason)
+	}
+	return reason
+}
 
-// newExecutor returns the engine of operations. Without a transport and a view of the other hosts, tickets are valid at
-// this host only. It is called before the transport and the control loop start.
+// newExecutor returns an engine whose moves of ledgers are announced to all hosts.
 func (s *Server) newExecutor(incarnation model.Incarnation, transport peer.Transport, view control.View) *execute.Engine {
 	cfg := execute.Config{
 		Self:      ticket.Origin{Host: s.settings.HostID, Incarnation: incarnation},
@@ -43,22 +53,13 @@
 		Sealer:    s.newSealer(),
 		Targets:   s.ports.Targets,
 		Transport: transport,
-		View:      localView{s},
+		View:      view,
 		Guard:     s.guard,
 		Admission: s.admitter,
+		Announce:  func(move execute.Move) { s.announceMove(view, move) },
 	}
-	if view != nil {
-		s.guard.connect(view.Publish, view.Subscribe)
-		cfg.View = view
-		cfg.Announce = func(move execute.Move) { s.announceMove(view, move) }
-	}
+	s.guard.connect(view.Publish, view.Subscribe)
 	engine := execute.New(s.logger, cfg)
-	s.operator.dumps.Add("admission", func() any { return s.admitter.load() })
-	s.operator.dumps.Add("quarantine", func() any { return s.guard.statistics() })
-	s.operator.dumps.Add("tickets", func() any { return engine.Statistics() })
-	if view == nil {
-		return engine
-	}
 	view.Subscribe(rumor.TopicLedger, func(notice rumor.Notice) {
 		var move execute.Move
 		if err := msgpack.Unmarshal(notice.Payload, &move); err == nil {
@@ -68,22 +69,11 @@
 	return engine
 }
 
-// newSealer reads the fleet keys. Without any, a key of this process seals the tickets.
+// newSealer reads the fleet keys. A host that can't read them does not start, so the key in their place is never used.
 func (s *Server) newSealer() *ticket.Sealer {
-	var keys [][]byte
-	for _, path := range s.settings.FleetKeyFiles {
-		key, err := settings.ReadSecret(path)
-		if err != nil {
-			s.logger.Error("fleet key cannot be read", zap.Error(err))
-			continue
-		}
-		keys = append(keys, key)
-	}
-	if len(keys) == 0 {
-		s.logger.Warn("no fleet key: tickets are valid at this host only")
-		key := make([]byte, localKeyBytes)
-		_, _ = rand.Read(key) // never fails
-		keys = append(keys, key)
+	keys, err := s.fleetKeys()
+	if err != nil {
+		keys = [][]byte{trialKey}
 	}
 	sealer, err := ticket.NewSealer(keys...)
 	if err != nil {
@@ -114,7 +104,7 @@
 // host, so that a data centre that is taken out doesn't give all of its ledgers to one host.
 func successors(self model.HostID, members []membership.Member, catalogue *model.Catalogue) []string {
 	candidates := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
-		return m.ID == self || m.State != membership.Alive || isOut(catalogue, m)
+		return m.ID == self || m.State != membership.Alive || catalogue != nil && isHostOut(catalogue, m.ID, m.DataCentre)
 	})
 	slices.SortFunc(candidates, func(a, b membership.Member) int {
 		return cmp.Compare(pairHash(self, a.ID), pairHash(self, b.ID))
@@ -128,15 +118,6 @@
 
 func pairHash(a, b model.HostID) uint64 { return xxhash.Sum64String(string(a) + "\x00" + string(b)) }
 
-func isOut(catalogue *model.Catalogue, m membership.Member) bool {
-	if catalogue == nil {
-		return false
-	}
-	hostOut := slices.ContainsFunc(catalogue.HostsOut, func(h model.HostOut) bool { return h.ID == m.ID })
-	centreOut := slices.ContainsFunc(catalogue.DataCentresOut, func(d model.DataCentreOut) bool { return d.ID == m.DataCentre })
-	return hostOut || centreOut
-}
-
 const (
 	// servicePoll is the time between two looks whether this host is in service. Work ends 3 s after it is taken out.
 	servicePoll   = 250 * time.Millisecond
@@ -146,10 +127,10 @@
 // followService hands the ledgers over when operators take this host or its data centre out of service, and starts an
 // empty one when it returns, until the context ends.
 func (s *Server) followService(ctx context.Context, engine *execute.Engine, view control.View) {
-	self := membership.Member{ID: s.settings.HostID, DataCentre: s.settings.DataCentre}
 	wasOut := false
 	for ; ctx.Err() == nil; pause(ctx, servicePoll) {
-		out := isOut(view.Catalogue(), self)
+		catalogue := view.Catalogue()
+		out := catalogue != nil && isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
 		switch {
 		case out && !wasOut:
 			s.handOverLedgers(ctx, engine, view)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -45,6 +46,10 @@
 	operator  *operatorState
 	guard     *guard
 	admitter  *admitter
+	executor  *execute.Engine
+	fleet     fleetState
+	stopper   stopper
+	stopHooks stopHooks
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -69,56 +74,72 @@
 func New(logger *zap.Logger, s settings.Settings, ports Ports) *Server {
 	reports := inventory.New()
 	incarnation := model.Incarnation(time.Now().UnixNano())
-	return &Server{
+	guard := newGuard(logger, s.HostID)
+	server := &Server{
 		logger:    logger,
 		settings:  s,
 		ports:     ports,
 		inventory: reports,
-		engine:    query.New(ports.Targets, reports, incarnation),
+		engine:    newEngine(logger, s, ports, reports, incarnation, guard),
 		operator:  newOperatorState(incarnation),
-		guard:     newGuard(logger, s.HostID),
+		guard:     guard,
 		admitter:  newAdmitter(nil),
 	}
+	server.joinFleet(incarnation)
+	server.joinExecute(incarnation)
+	return server
 }
 
 // Catalogue returns the catalogue in force, or nil before the first.
 func (s *Server) Catalogue() *model.Catalogue { return s.catalogue.Load() }
 
-// Run serves until the context ends.
+// Run serves until the context ends, and then stops as planned: it finishes the work that it has.
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := s.ports.Network.Listen(s.settings.CallerListen)
 	if err != nil {
 		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", s.settings.CallerListen)
 	}
+	peers, err := s.listenForPeers()
+	if err != nil {
+		return err
+	}
 	operators, err := s.listenForOperators()
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
-	api.SetExecutor(s.newExecutor(s.operator.incarnation, nil, nil))
+	api := callerapi.New(s.logger, guardedSearcher{s.engine, s.guard}, s, s.operator.metrics, s.operator.recorder)
+	api.SetExecutor(s.executor)
 	api.SetAdmission(s.admitter)
 	httpServer := &http.Server{
-		Handler:           api.Handler(),
+		Handler:           s.stopper.wrap(api.Handler()),
 		ReadTimeout:       readTimeout,
 		ReadHeaderTimeout: readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	stopping := ctx.Done()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var duties conc.WaitGroup
-	duties.Go(func() { s.followConfiguration(ctx) })
+	s.startFleet(ctx, &duties, peers)
 	duties.Go(func() { s.pollStatuses(ctx) })
 	duties.Go(func() { s.admitter.run(ctx) })
+	duties.Go(func() { s.followService(ctx, s.executor, s.fleet.control) })
+	duties.Go(func() { s.followOut(ctx) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
-		<-ctx.Done()
+		select {
+		case <-stopping:
+			s.stopper.plannedStop(ctx, s.logger, s.stopHooks)
+		case <-ctx.Done():
+		}
 		_ = httpServer.Shutdown(context.WithoutCancel(ctx)) // Serve reports the failure
 	})
 	s.logger.Info("serving callers", zap.String("address", listener.Addr().String()))
 	err = httpServer.Serve(listener)
 	cancel()
 	duties.Wait()
+	s.engine.Wait()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
