--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,7 @@
 	recorder    *explain.Recorder
 	incarnation model.Incarnation
 	started     time.Time
+	polled      atomic.Bool // every target was asked for its report once
 
 	mu         sync.Mutex
 	generation model.Generation
