--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -11,7 +11,10 @@
 )
 
 // newEngine returns the query engine of the host.
-func newEngine(logger *zap.Logger, s settings.Settings, ports Ports, reports *inventory.Inventory, incarnation model.Incarnation) *query.Engine {
+func newEngine(
+	logger *zap.Logger, s settings.Settings, ports Ports, reports *inventory.Inventory, incarnation model.Incarnation,
+	observer query.Observer,
+) *query.Engine {
 	return query.New(logger, query.Config{
 		Client:      ports.Targets,
 		Inventory:   reports,
@@ -19,6 +22,7 @@
 		Incarnation: incarnation,
 		Keys:        fleetKeys(logger, s),
 		Seed:        uint64(incarnation),
+		Observer:    observer,
 	})
 }
 
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -69,7 +69,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if phase == refusing {
-			refuse(w, reason)
+			refuse(w, refusalOf(r, reason))
 			return
 		}
 		defer s.leave()
