Hedge only after the usual latency is known

Without samples a hedge followed after 10 ms, and the percentile of a few samples is their usual latency.

Ruled out: an empty budget at the start; retries after a lost replica would then fail on a host that has just started.

Change: the 95th percentile counts from 16 samples on; until then a hedge follows after 50 ms.

TestStartDoesNotDoubleAttempts was shown failing with 10 ms (64 attempts, 42 permitted) and with a percentile of any number of samples (56).

--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -114,6 +114,21 @@
 	})
 }
 
+// TestStartDoesNotDoubleAttempts guards against a host that hedges most of its first attempts, because it takes the first
+// latency that it sees for the usual one or knows none.
+func TestStartDoesNotDoubleAttempts(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		for _, x := range w.targets {
+			x.SetSlowdown(4)
+		}
+		for range 5 {
+			w.search(t, request())
+		}
+		w.engine.Wait()
+		require.LessOrEqual(t, len(w.records()), 5*2*groups*105/100)
+	})
+}
+
 // TestNoExtraAttemptsWhereQueuesForm guards against hedges and retries that lengthen the queues of a target that sheds.
 func TestNoExtraAttemptsWhereQueuesForm(t *testing.T) {
 	inWorld(t, nil, func(w *world) {
--- a/internal/query/picker.go
+++ b/internal/query/picker.go
@@ -25,8 +25,9 @@
 	// maxPerSlot times a target's slots is the most that this host ever has in flight there. A target queues two
 	// attempts per slot and sheds more.
 	maxPerSlot = 3
-	// firstHedgeDelay applies until latencies are known; minHedgeDelay keeps clock noise from causing hedges.
-	firstHedgeDelay = 10 * time.Millisecond
+	// firstHedgeDelay applies until latencies are known. A host that has just started must not double its first
+	// attempts while connections open. minHedgeDelay keeps clock noise from causing hedges.
+	firstHedgeDelay = 50 * time.Millisecond
 	minHedgeDelay   = time.Millisecond
 )
 
--- a/internal/replica/sketch.go
+++ b/internal/replica/sketch.go
@@ -70,7 +70,8 @@
 	return s.median
 }
 
-// P95 returns the 95th percentile of the latency, 0 if there is no recent sample.
+// P95 returns the 95th percentile of the latency, 0 if there are fewer than 16 recent samples: the percentile of a few
+// would be their usual latency.
 func (s *Sketch) P95(now time.Duration) time.Duration {
 	s.rotate(now)
 	return s.p95
@@ -108,5 +109,8 @@
 		return
 	}
 	s.median = time.Duration(source.ValueAtQuantile(50)) * sketchUnit
-	s.p95 = time.Duration(source.ValueAtQuantile(95)) * sketchUnit
+	s.p95 = 0
+	if source.TotalCount() >= refreshEvery {
+		s.p95 = time.Duration(source.ValueAtQuantile(95)) * sketchUnit
+	}
 }
