Prove honest answers over HTTP, and end connections to targets that left

Cause: the differential test ran on the in-process client only, and a target that leaves the catalogue kept its idle connections.

Ruled out: an idle timeout; connections of a group that is seldom asked would be opened again for each query, which costs 6 ms.

Change: TestHonestAnswersOverHTTP runs the engine over HTTP connections in memory that fall silent and break. KeepOnly ends the connections to targets that are not listed; the server has to call it when the catalogue changes.

Shown failing first: checksum check off, TestHonestAnswersOverHTTP finds hits that differ from those expected; KeepOnly without effect, TestKeepOnlyEndsOtherConnections fails.

--- a/internal/query/differential_test.go
+++ b/internal/query/differential_test.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/target"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient/targettest"
 )
 
 // TestSameAnswerAsNaiveWithoutFailures guards against an engine that loses or changes hits on its way.
@@ -92,3 +95,27 @@
 	require.Greater(t, restarts, 3, "no query had to restart")
 	t.Logf("naive: %d of 60 answers false; engine: 0 of %d, %d restarts", naiveLies, answers, restarts)
 }
+
+// TestHonestAnswersOverHTTP guards the same over HTTP connections that fall silent, break and carry damaged replies.
+func TestHonestAnswersOverHTTP(t *testing.T) {
+	for seed := range uint64(12) {
+		inWorld(t, nil, func(w *world) {
+			network := targettest.NewNetwork(w.targets)
+			network.ConnectTime = ms
+			client := targetclient.NewHTTPOver(4, network.Dial)
+			w.engine = New(zap.NewNop(), w.config(client))
+			rng := rand.New(rand.NewPCG(seed, 4))
+			w.search(t, request())
+			w.disturb(rng)
+			for range 3 {
+				w.targets[w.catalogue.Targets[rng.IntN(len(w.targets))].ID].SilenceConnections()
+				result := w.search(t, request())
+				require.NoError(t, honest(result, request().Limit), "seed %d", seed)
+				w.poll()
+			}
+			w.engine.Wait()
+			client.Close()
+			network.Close()
+		})
+	}
+}
--- a/internal/query/world_test.go
+++ b/internal/query/world_test.go
@@ -72,9 +72,7 @@
 	}
 	w.poll()
 	w.client = target.NewClient(w.targets, func(model.Target) time.Duration { return ms })
-	cfg := Config{
-		Client: w.client, Inventory: w.reports, Host: "h", Incarnation: 1, Keys: snapshot.Keys{[]byte("key")}, Seed: 1,
-	}
+	cfg := w.config(w.client)
 	if change != nil {
 		change(&cfg)
 	}
@@ -82,8 +80,14 @@
 	return w
 }
 
+func (w *world) config(client targetclient.TargetClient) Config {
+	return Config{
+		Client: client, Inventory: w.reports, Host: "h", Incarnation: 1, Keys: snapshot.Keys{[]byte("key")}, Seed: 1,
+	}
+}
+
 func (w *world) addTarget(id model.TargetID) {
-	described := model.Target{ID: id, Slots: 4, ColdSlots: 1}
+	described := model.Target{ID: id, Address: string(id), Slots: 4, ColdSlots: 1}
 	w.catalogue.Targets = append(w.catalogue.Targets, described)
 	w.targets[id] = target.New(target.Config{
 		Target: described, Incarnation: 1, ServiceTime: 4 * ms, Seed: uint64(len(w.targets)),
--- a/internal/targetclient/http.go
+++ b/internal/targetclient/http.go
@@ -62,6 +62,22 @@
 // SetLimit changes the number of connections to a target. Surplus connections close as soon as they are idle.
 func (h *HTTP) SetLimit(target model.Target, connections int) { h.pool(target).setLimit(connections) }
 
+// KeepOnly ends the connections to all other targets, for instance those that the catalogue no longer has.
+func (h *HTTP) KeepOnly(targets []model.Target) {
+	kept := make(map[model.TargetID]bool, len(targets))
+	for _, t := range targets {
+		kept[t.ID] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, p := range h.pools {
+		if !kept[id] {
+			p.close()
+			delete(h.pools, id)
+		}
+	}
+}
+
 // Counters returns the client's counters.
 func (h *HTTP) Counters() *Counters { return &h.counters }
 
--- a/internal/targetclient/http_test.go
+++ b/internal/targetclient/http_test.go
@@ -129,6 +129,18 @@
 	})
 }
 
+// TestKeepOnlyEndsOtherConnections guards against connections that stay open to targets that have left the catalogue.
+func TestKeepOnlyEndsOtherConnections(t *testing.T) {
+	overHTTP(t, func(f *targettest.Fixture, client *targetclient.HTTP, network *targettest.Network) {
+		parallel(f, 3)
+		client.KeepOnly([]model.Target{f.Target})
+		require.EqualValues(t, 3, network.Open.Load())
+		client.KeepOnly(nil)
+		require.Zero(t, network.Open.Load())
+		require.NoError(t, parallel(f, 1)[0], "a target that comes back gets new connections")
+	})
+}
+
 // recorder keeps what the client writes on all connections.
 type recorder struct {
 	net.Conn
