--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -3,13 +3,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -70,6 +67,10 @@
 	catalogues Catalogues
 	observer   *observer
 	isReady    func() error
+	executor   Executor
+	admission  execute.Admission
+
+	authenticator authenticator
 }
 
 // New returns the caller API. It adds its metrics to the set and its queries to the recorder.
@@ -93,6 +94,7 @@
 func (a *API) Handler() http.Handler {
 	router := httprouter.New()
 	router.POST("/v1/search", a.observer.observe("search", a.search))
+	a.routeExecute(router)
 	router.GET("/readyz", a.ready)
 	return router
 }
@@ -122,12 +124,12 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
-func (a *API) answer(w http.ResponseWriter, r *http.Request) (SearchReply, error) {
+func (a *API) answer(w http.ResponseWriter, r *http.Request) (reply SearchReply, err error) {
 	if err := a.catalogues.Ready(); err != nil {
 		return SearchReply{}, err
 	}
 	catalogue := a.catalogues.Catalogue()
-	caller, err := authenticate(catalogue, r)
+	caller, err := a.authenticator.authenticate(catalogue, r)
 	if err != nil {
 		return SearchReply{}, err
 	}
@@ -140,6 +142,11 @@
 		return SearchReply{}, fault.New(fault.Forbidden, fault.NotRun,
 			"ask the operators to grant the search", "caller %s may not use search %q", caller.ID, request.Search)
 	}
+	end, err := a.admit(r, catalogue, caller, &request)
+	if err != nil {
+		return SearchReply{}, err
+	}
+	defer func() { end(err) }()
 	result, err := a.searcher.Search(r.Context(), catalogue, query.Request{
 		Caller:       caller.ID,
 		Search:       request.Search,
@@ -163,35 +170,15 @@
 	}, nil
 }
 
-// authenticate finds the catalogue entry whose token the request bears.
-func authenticate(catalogue *model.Catalogue, r *http.Request) (model.Caller, error) {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return model.Caller{}, fault.New(fault.Unauthenticated, fault.NotRun,
-			"send the header Authorization: Bearer TOKEN", "the request bears no token")
-	}
-	sum := sha256.Sum256([]byte(token))
-	hash := hex.EncodeToString(sum[:])
-	for _, caller := range catalogue.Callers {
-		if slices.Contains(caller.TokenSHA256, hash) {
-			return caller, nil
-		}
-	}
-	return model.Caller{}, fault.New(fault.Unauthenticated, fault.NotRun,
-		"ask the operators for a catalogue entry", "no catalogue entry has this token")
-}
-
 func decodeSearch(w http.ResponseWriter, r *http.Request) (SearchRequest, error) {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, model.MaxBodyBytes))
-	decoder.DisallowUnknownFields()
 	var request SearchRequest
-	if err := decoder.Decode(&request); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return request, fault.New(fault.TooLarge, fault.NotRun, "send a smaller body", "the body is over 64 KiB")
-		}
-		return request, fault.Wrap(err, fault.BadRequest, fault.NotRun, "correct the body", "the body is not valid")
+	if err := decodeBody(w, r, &request); err != nil {
+		return request, err
+	}
+	if err := request.checkNames(); err != nil {
+		return request, err
 	}
+	request.Query = compact(request.Query)
 	if request.DeadlineMS <= 0 || request.DeadlineMS > model.MaxDeadline.Milliseconds() {
 		return request, fault.New(fault.BadRequest, fault.NotRun,
 			"send deadline_ms from 1 to 10000", "deadline_ms is %d", request.DeadlineMS)
@@ -219,6 +206,13 @@
 	return request, nil
 }
 
+func (r SearchRequest) checkNames() error {
+	if len(r.Snapshot) > maxTokenBytes || len(r.MinSnapshot) > maxTokenBytes {
+		return fault.New(fault.BadRequest, fault.NotRun, "send the token as it was received", "a snapshot token is too long")
+	}
+	return checkName("search", string(r.Search))
+}
+
 func writeError(w http.ResponseWriter, err *fault.Error) {
 	observeRefusal(w, err)
 	writeJSON(w, err.HTTPStatus(), ErrorReply{Error: err})
