Let an owner take over at once when every host says that nothing from before is in use

Confirming that no table exists hardly ever applies, because the first confirmation brings the first table.

A waiting owner now asks every host of the tables that may be in force elsewhere. A host answers when it holds the same table, has lent no more than its new part, and uses no loan from an older table or from a former run of the asker. After its answer it accepts no grant from before. With all answers the owner forgets the older tables; a host that does not answer leaves it to the wait as before. Fleets of more than 16 hosts always wait. Owners lend to hosts of the table only, so that all borrowers are asked. Nonces start at the run's incarnation, so a late grant for a former run is never taken.

This relies on a rule of the fleet table: a host is taken off it only after it has been dead for 30 s.

--- a/internal/server/gate_messages.go
+++ b/internal/server/gate_messages.go
@@ -19,11 +19,13 @@
 
 // The kinds of frames of shares, cold targets and evidence.
 const (
-	kindLoanRequest  peer.Kind = "loan_request"
-	kindLoanGrant    peer.Kind = "loan_grant"
-	kindLoanReturn   peer.Kind = "loan_return"
-	kindColdProgress peer.Kind = "cold_progress"
-	kindEvidence     peer.Kind = "evidence"
+	kindLoanRequest   peer.Kind = "loan_request"
+	kindLoanGrant     peer.Kind = "loan_grant"
+	kindLoanReturn    peer.Kind = "loan_return"
+	kindTableQuestion peer.Kind = "table_question"
+	kindTableAnswer   peer.Kind = "table_answer"
+	kindColdProgress  peer.Kind = "cold_progress"
+	kindEvidence      peer.Kind = "evidence"
 )
 
 const (
@@ -45,9 +47,11 @@
 // register sets the handlers of frames and notices.
 func (g *gates) register() {
 
-	handleLoan[share.LoanRequest](g, kindLoanRequest)
-	handleLoan[share.LoanGrant](g, kindLoanGrant)
-	handleLoan[share.LoanReturn](g, kindLoanReturn)
+	handleShare[share.LoanRequest](g, kindLoanRequest)
+	handleShare[share.LoanGrant](g, kindLoanGrant)
+	handleShare[share.LoanReturn](g, kindLoanReturn)
+	handleShare[share.TableQuestion](g, kindTableQuestion)
+	handleShare[share.TableAnswer](g, kindTableAnswer)
 	g.transport.Handle(kindColdProgress, g.handleProgress)
 	g.transport.Handle(kindEvidence, g.handleEvidence)
 	g.view.Subscribe(rumor.TopicCold, g.receiveCold)
@@ -55,7 +59,7 @@
 	g.view.Subscribe(rumor.TopicLeave, g.receiveLeave)
 }
 
-func handleLoan[M share.Message](g *gates, kind peer.Kind) {
+func handleShare[M share.Message](g *gates, kind peer.Kind) {
 	g.transport.Handle(kind, func(_ context.Context, from peer.Sender, decode func(any) error) (any, error) {
 		var message M
 		if err := decode(&message); err != nil {
@@ -208,6 +212,10 @@
 		return kindLoanRequest
 	case share.LoanGrant:
 		return kindLoanGrant
+	case share.TableQuestion:
+		return kindTableQuestion
+	case share.TableAnswer:
+		return kindTableAnswer
 	}
 	return kindLoanReturn
 }
--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -60,14 +60,14 @@
 }
 
 // newGates registers the handlers and receivers. It is called before the transport and the control loop start.
-func newGates(logger *zap.Logger, self model.HostID, view control.View, transport peer.Transport) *gates {
+func newGates(logger *zap.Logger, self model.HostID, run model.Incarnation, view control.View, transport peer.Transport) *gates {
 	g := &gates{
 		logger:      logger,
 		self:        self,
 		view:        view,
 		transport:   transport,
 		started:     time.Now(),
-		shares:      share.New(share.Config{Self: self}),
+		shares:      share.New(share.Config{Self: self, Run: run}),
 		eligibility: eligibility.New(),
 		phases:      coldstart.New(),
 		owners:      map[model.TargetID]model.HostID{},
--- a/internal/server/gates_test.go
+++ b/internal/server/gates_test.go
@@ -48,7 +48,7 @@
 		h := &fakeHost{fleet: f, id: model.HostID(fmt.Sprintf("h%02d", i))}
 		h.handlers = map[peer.Kind]peer.Handler{}
 		h.receivers = map[rumor.Topic]func(rumor.Notice){}
-		h.gates = newGates(zap.NewNop(), h.id, h, h)
+		h.gates = newGates(zap.NewNop(), h.id, 1, h, h)
 		f.hosts = append(f.hosts, h)
 	}
 	return f
--- a/internal/share/borrower.go
+++ b/internal/share/borrower.go
@@ -51,7 +51,9 @@
 	inUse   int
 	// busyUntil is the latest deadline of the units in use.
 	busyUntil time.Duration
-	pending   []pendingRequest
+	// given is where the newest loan comes from, oldest that of the oldest unit that may still be in use.
+	given, oldest origin
+	pending       []pendingRequest
 	// refused is the highest nonce whose grant must not be accepted any more.
 	refused  uint64
 	asked    float64
@@ -59,6 +61,12 @@
 	everSent bool
 }
 
+// origin is the owner's table and run that a loan was given under.
+type origin struct {
+	generation  uint64
+	incarnation model.Incarnation
+}
+
 type pendingRequest struct {
 	nonce  uint64
 	sentAt time.Duration
@@ -96,8 +104,8 @@
 
 // accept takes a grant, unless it answers no known request, has ended, or a newer one was accepted.
 func (s *State) accept(now time.Duration, from Sender, grant LoanGrant) {
-	e := s.entries[grant.Key]
-	if e == nil || e.debts[from.Host] == nil {
+	e := s.touch(now, grant.Key)
+	if e == nil || e.debts[from.Host] == nil || grant.Generation < s.answered {
 		return
 	}
 	d := e.debts[from.Host]
@@ -112,6 +120,10 @@
 	d.nonce = grant.Nonce
 	d.amount = grant.Amount
 	d.expires = expires
+	d.given = origin{grant.Generation, from.Incarnation}
+	if d.inUse == 0 {
+		d.oldest = d.given
+	}
 	d.settle()
 	s.refreshRate(e, now)
 }
@@ -153,15 +165,15 @@
 	missing := max(0, need-e.borrowed())
 	var sends []Send
 	for position, owner := range owners {
-		ask := s.ask(e, owner, need, missing, position, len(owners))
+		ask := s.amountFor(e, owner, need, missing, position, len(owners))
 		sends = s.request(sends, e, now, owner, ask)
 	}
 	return sends
 }
 
-// ask returns the amount to ask one owner for: what it lends now and twice an equal part of what is missing, so that
+// amountFor returns the amount to ask one owner for: what it lends now and twice an equal part of what is missing, so that
 // owners without a surplus are made up for by the others.
-func (s *State) ask(e *entry, owner model.HostID, need, missing float64, position, owners int) float64 {
+func (s *State) amountFor(e *entry, owner model.HostID, need, missing float64, position, owners int) float64 {
 	var held float64
 	if d := e.debts[owner]; d != nil {
 		held = d.amount
--- a/internal/share/lender.go
+++ b/internal/share/lender.go
@@ -79,8 +79,8 @@
 
 // lend answers a request.
 func (s *State) lend(now time.Duration, from Sender, request LoanRequest) []Send {
-	e := s.entries[request.Key]
-	if e == nil || s.fenced || from.Host == s.cfg.Self {
+	e := s.touch(now, request.Key)
+	if e == nil || s.fenced || from.Host == s.cfg.Self || !s.newest().has(from.Host) {
 		return nil
 	}
 	if s.effective(e, now) <= 0 || request.Term <= 0 || request.Term > e.key.longestTerm() {
@@ -100,7 +100,7 @@
 		borrower.loans = append(borrower.loans, loan)
 	}
 	s.refreshRate(e, now)
-	return []Send{{from.Host, LoanGrant{request.Key, request.Nonce, amount}}}
+	return []Send{{from.Host, LoanGrant{request.Key, request.Nonce, amount, s.Generation()}}}
 }
 
 func (e *entry) account(from Sender) *account {
@@ -139,7 +139,7 @@
 
 // takeBack ends the loans that a borrower returned.
 func (s *State) takeBack(now time.Duration, from Sender, message LoanReturn) {
-	e := s.entries[message.Key]
+	e := s.touch(now, message.Key)
 	if e == nil {
 		return
 	}
--- a/internal/share/loan_test.go
+++ b/internal/share/loan_test.go
@@ -1,11 +1,14 @@
 package share
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
 const started = 20 * time.Second
@@ -245,3 +248,58 @@
 	require.True(t, state.SetGrant(0, Key{Rate, "0"}, 0))
 	require.True(t, state.SetGrant(0, rateKey, 1))
 }
+
+// TestAnswersShortenTheTakeover guards against a new fleet, or a restarted owner, that leaves its shares unused for
+// seconds although every host can say that nothing from before is in use; and against an owner that counts the answer of
+// a host that holds a loan of its former run, or that does not answer.
+func TestAnswersShortenTheTakeover(t *testing.T) {
+	table := Table{Generation: 1, Hosts: []TableHost{{ID: hostID(0)}, {ID: hostID(1)}, {ID: hostID(2)}}}
+	start := func(run model.Incarnation, now time.Duration, host int) *State {
+		state := New(Config{Self: hostID(host), Run: run, Started: now})
+		state.SetGrant(now, rateKey, 240)
+		state.SetGrant(now, unitKey, 12)
+		state.SetTable(now, table)
+		return state
+	}
+	states := []*State{start(1, 0, 0), start(1, 0, 1), start(1, 0, 2)}
+	runs := []model.Incarnation{1, 1, 1}
+	carry := func(now time.Duration, from int) {
+		for _, send := range states[from].Tick(now) {
+			var to int
+			fmt.Sscanf(string(send.To), "h%d", &to)
+			if states[to] == nil {
+				continue
+			}
+			for _, answer := range states[to].Step(now, Sender{hostID(from), runs[from]}, send.Message) {
+				states[from].Step(now, Sender{send.To, runs[to]}, answer.Message)
+			}
+		}
+	}
+	now := runOutTime
+	for host := range states {
+		carry(now, host)
+		require.InDelta(t, 80, states[host].Usable(now, rateKey), 1e-9)
+		require.InDelta(t, 4, states[host].Usable(now, unitKey), 1e-9)
+	}
+	for range 400 {
+		states[0].Take(now, rateKey, 1) // host 0 borrows from the others
+	}
+	carry(now, 0)
+	now += 100 * time.Millisecond
+	states[1], runs[1] = start(2, now, 1), 2
+	now += runOutTime
+	states[0].Take(now, rateKey, 1)
+	held := states[0].entries[rateKey].debts[hostID(1)]
+	held.amount, held.expires = 1, now+300*time.Millisecond // a loan of the former run is still in force
+	carry(now, 1)
+	require.Zero(t, states[1].Usable(now, rateKey))
+	now += 300 * time.Millisecond
+	carry(now, 1)
+	require.InDelta(t, 80, states[1].Usable(now, rateKey), 1e-9)
+	states[1], runs[1], states[2] = start(3, now, 1), 3, nil
+	for wait := time.Duration(0); wait < 6*time.Second; wait += 100 * time.Millisecond {
+		carry(now+wait, 1)
+		require.Zero(t, states[1].Usable(now+wait, rateKey))
+	}
+	require.InDelta(t, 80, states[1].Usable(now+6*time.Second, rateKey), 1e-9)
+}
--- a/internal/share/message.go
+++ b/internal/share/message.go
@@ -44,6 +44,8 @@
 	Key    Key     `msgpack:"key"`
 	Nonce  uint64  `msgpack:"nonce"`
 	Amount float64 `msgpack:"amount"`
+	// Generation is the one of the owner's table.
+	Generation uint64 `msgpack:"generation"`
 }
 
 // LoanReturn gives back every loan up to a nonce. The borrower accepts no grant of these nonces afterwards.
@@ -52,12 +54,26 @@
 	Nonce uint64 `msgpack:"nonce"`
 }
 
-// Message is a LoanRequest, LoanGrant or LoanReturn.
-type Message interface{ key() Key }
+// TableQuestion asks a host whether it holds a table and uses nothing from before it.
+type TableQuestion struct {
+	Generation uint64 `msgpack:"generation"`
+}
+
+// TableAnswer says so. A host that can't say so yet does not answer.
+type TableAnswer struct {
+	Generation uint64 `msgpack:"generation"`
+	// Run is the run of the host that asked.
+	Run model.Incarnation `msgpack:"run"`
+}
+
+// Message is a LoanRequest, LoanGrant, LoanReturn, TableQuestion or TableAnswer.
+type Message interface{ isMessage() }
 
-func (m LoanRequest) key() Key { return m.Key }
-func (m LoanGrant) key() Key   { return m.Key }
-func (m LoanReturn) key() Key  { return m.Key }
+func (LoanRequest) isMessage()   {}
+func (LoanGrant) isMessage()     {}
+func (LoanReturn) isMessage()    {}
+func (TableQuestion) isMessage() {}
+func (TableAnswer) isMessage()   {}
 
 // Send is a message for the caller to carry to another host.
 type Send struct {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -39,6 +39,10 @@
 // Config names the host.
 type Config struct {
 	Self model.HostID
+	// Run tells the runs of the host apart. A later run has a higher value.
+	Run model.Incarnation
+	// Started is the time at which the process started.
+	Started time.Duration
 }
 
 // State is the state machine of one host. It is not safe for concurrent use.
@@ -48,6 +52,9 @@
 	tables  []heldTable
 	entries map[Key]*entry
 	nonce   uint64
+	// runs holds the newest known run of each host; messages of older ones are dropped.
+	runs map[model.HostID]model.Incarnation
+	takeover
 	// stopped tells that this host stops and borrows nothing any more.
 	stopped bool
 }
@@ -78,7 +85,14 @@
 func New(cfg Config) *State {
 	// The first entry stands for the tables that this host did not see.
 	unknown := heldTable{replacedAt: never}
-	return &State{cfg: cfg, tables: []heldTable{unknown}, entries: map[Key]*entry{}}
+	return &State{
+		cfg:     cfg,
+		tables:  []heldTable{unknown},
+		entries: map[Key]*entry{},
+		runs:    map[model.HostID]model.Incarnation{},
+		// A late grant for a former run never has the nonce of a request of this one.
+		nonce: uint64(cfg.Run),
+	}
 }
 
 // SetFenced says whether this host may be cut off from newer tables. A fenced host uses no share and lends nothing.
@@ -94,7 +108,9 @@
 }
 
 // Generation returns the generation of the newest table.
-func (s *State) Generation() uint64 { return s.tables[len(s.tables)-1].generation }
+func (s *State) Generation() uint64 { return s.newest().generation }
+
+func (s *State) newest() heldTable { return s.tables[len(s.tables)-1] }
 
 // ConfirmNoTable records that no table had been written when this host last confirmed its configuration. Nobody owned
 // anything before the first table, so its owners need not wait.
@@ -119,6 +135,7 @@
 		s.tables = append(s.tables, heldTable{generation: last.generation, replacedAt: now})
 	}
 	s.tables = append(s.tables, hold(table))
+	s.takeover.restart()
 	for _, e := range s.entries {
 		s.refreshRate(e, now)
 	}
@@ -169,10 +186,10 @@
 
 // Step handles a message of another host and returns the answers.
 func (s *State) Step(now time.Duration, from Sender, message Message) []Send {
-	if e := s.entries[message.key()]; e != nil {
-		s.advance(e, now)
-		e.usedAt = now
+	if from.Incarnation < s.runs[from.Host] {
+		return nil
 	}
+	s.runs[from.Host] = from.Incarnation
 	switch m := message.(type) {
 	case LoanRequest:
 		return s.lend(now, from, m)
@@ -180,14 +197,28 @@
 		s.accept(now, from, m)
 	case LoanReturn:
 		s.takeBack(now, from, m)
+	case TableQuestion:
+		return s.answer(now, from, m)
+	case TableAnswer:
+		s.noteAnswer(now, from, m)
 	}
 	return nil
 }
 
+// touch returns the entry of a key, carried to now.
+func (s *State) touch(now time.Duration, key Key) *entry {
+	e := s.entries[key]
+	if e != nil {
+		s.advance(e, now)
+		e.usedAt = now
+	}
+	return e
+}
+
 // Tick ends loans and returns the requests and returns that are due. It is called about every 50 ms.
 func (s *State) Tick(now time.Duration) []Send {
 	s.forgetTables(now)
-	var sends []Send
+	sends := s.ask(now)
 	for _, key := range s.activeKeys(now) {
 		e := s.entries[key]
 		s.advance(e, now)
@@ -206,12 +237,10 @@
 
 // Take takes tokens of a rate. It returns false when there are too few.
 func (s *State) Take(now time.Duration, key Key, amount float64) bool {
-	e := s.entries[key]
+	e := s.touch(now, key)
 	if e == nil {
 		return false
 	}
-	s.advance(e, now)
-	e.usedAt = now
 	e.demand.add(now, amount)
 	return e.bucket.take(amount)
 }
@@ -319,7 +348,7 @@
 
 // Owner returns the first owner of a key in the newest table, or "" without a table. A Cold key has only one.
 func (s *State) Owner(key Key) model.HostID {
-	owners := s.tables[len(s.tables)-1].owners(key)
+	owners := s.newest().owners(key)
 	if len(owners) == 0 {
 		return ""
 	}
@@ -356,7 +385,7 @@
 
 // lenders returns the other owners of the key in the newest table and notes their parts.
 func (s *State) lenders(e *entry) []model.HostID {
-	newest := s.tables[len(s.tables)-1]
+	newest := s.newest()
 	if e.portions == nil || e.portionsOf != newest.generation || e.portionsGrant != e.grant {
 		e.portions = map[model.HostID]float64{}
 		e.portionsOf = newest.generation
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 	}
 	one := rapid.Custom(func(t *rapid.T) event {
 		e := event{host: rapid.IntRange(0, hosts-1).Draw(t, "host")}
-		e.advance = millis(t, "advance", 0, 5, 20, 50, 100, 400)
+		e.advance = millis(t, "advance", 0, 5, 20, 50, 100, 400, 1100)
 		if rapid.IntRange(0, 19).Draw(t, "unusual") == 10 {
 			e.do = action(rapid.IntRange(0, int(actions)-1).Draw(t, "do"))
 			e.lasts = millis(t, "lasts", 500, 2500, 8000)
@@ -101,6 +102,7 @@
 	pausedUntil time.Duration
 	cutUntil    time.Duration
 	takes       int
+	dropAt      time.Duration
 	confirmedAt time.Duration
 	wholeGrant  *bucket
 }
@@ -123,7 +125,9 @@
 	for i := range hosts {
 		h := &simHost{rate: 1 - float64(i)/float64(hosts-1)*(1-1/1.1), takes: 60 * i, wholeGrant: &bucket{rate: grants[rateKey]}}
 		s.hosts = append(s.hosts, h)
-		s.table.Hosts = append(s.table.Hosts, TableHost{ID: hostID(i)})
+		if i != 1 {
+			s.table.Hosts = append(s.table.Hosts, TableHost{ID: hostID(i)}) // the other one joins later
+		}
 		s.start(i)
 	}
 	return s
@@ -134,7 +138,7 @@
 func (s *sim) start(i int) {
 	h := s.hosts[i]
 	h.incarnation++
-	h.state = New(Config{Self: hostID(i)})
+	h.state = New(Config{Self: hostID(i), Run: h.incarnation << 32, Started: s.clock(i)})
 	for key, grant := range grants {
 		h.state.SetGrant(s.clock(i), key, grant)
 	}
@@ -165,6 +169,7 @@
 func (s *sim) run(events []event) error {
 	for _, e := range events {
 		s.now += e.advance
+		s.drop()
 		s.deliver(e)
 		s.disturb(e)
 		for i, h := range s.hosts {
@@ -188,14 +193,21 @@
 	h := s.hosts[e.host]
 	switch e.do {
 	case pause:
-		h.pausedUntil = s.now + e.lasts
+		h.pausedUntil = max(h.pausedUntil, s.now+e.lasts)
 	case restart:
 		s.start(e.host)
 		h.pausedUntil = 0
+		h.dropAt = 0
+		// The callers of the former run are gone; attempts at targets go on.
+		s.works[unitKey] = slices.DeleteFunc(s.works[unitKey], func(w work) bool { return w.host == e.host })
 	case cutOff:
 		h.cutUntil = s.now + e.lasts
-	case dropOwner, addOwner:
-		s.change(e.host, e.do == addOwner)
+	case dropOwner:
+		// A host leaves the table after it has been dead for 30 s.
+		h.pausedUntil = max(h.pausedUntil, s.now+32*time.Second)
+		h.dropAt = s.now + 30*time.Second
+	case addOwner:
+		s.change(e.host, true)
 	case delayFrames:
 		s.delay = e.delay
 	case changeDemand:
@@ -203,6 +215,16 @@
 	}
 }
 
+// drop takes hosts off the table that have been dead for long.
+func (s *sim) drop() {
+	for i, h := range s.hosts {
+		if h.dropAt > 0 && h.dropAt <= s.now {
+			h.dropAt = 0
+			s.change(i, false)
+		}
+	}
+}
+
 func (s *sim) change(i int, add bool) {
 	var hosts []TableHost
 	for _, h := range s.table.Hosts {
@@ -223,7 +245,7 @@
 		if e.lost && n%2 == 0 || s.isCut(i) || s.isCut(to) {
 			continue
 		}
-		f := frame{s.now + s.delay*time.Duration(1+n%2)/2, Sender{hostID(i), s.hosts[i].incarnation}, to, send.Message}
+		f := frame{s.now + s.delay*time.Duration(1+n%2)/2, Sender{hostID(i), s.hosts[i].incarnation << 32}, to, send.Message}
 		s.frames = append(s.frames, f)
 		if e.repeated {
 			f.at += s.delay
--- a/internal/share/table.go
+++ b/internal/share/table.go
@@ -55,6 +55,10 @@
 	return held
 }
 
+func (t heldTable) has(host model.HostID) bool {
+	return slices.ContainsFunc(t.hosts, func(h hashedHost) bool { return h.ID == host })
+}
+
 // mix spreads the combination of two hashes over 64 bits (finalizer of a 64-bit multiplicative hash).
 func mix(a, b uint64) uint64 {
 	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
--- /dev/null
+++ b/internal/share/takeover_test.go
@@ -0,0 +1,94 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var asker = Sender{Host: hostID(2), Incarnation: 5}
+
+// grown returns a host that lent nearly all of a grant under a table of two hosts and then got one of three.
+func grown(t *testing.T) (owner, borrower *State, request LoanRequest) {
+	states := fleetOf(2, map[Key]float64{rateKey: 200})
+	request = askOwner(t, states, started)
+	grant := states[1].Step(started, Sender{Host: hostID(0)}, request)[0].Message
+	states[0].Step(started, Sender{Host: hostID(1)}, grant)
+	three := Table{Generation: 2, Hosts: []TableHost{{ID: hostID(0)}, {ID: hostID(1)}, {ID: hostID(2)}}}
+	states[0].SetTable(started, three)
+	states[1].SetTable(started, three)
+	return states[1], states[0], request
+}
+
+// firstRequest makes a host want more than its share and returns its first request for a loan.
+func firstRequest(t *testing.T, state *State, now time.Duration) Send {
+	for range 300 {
+		state.Take(now, rateKey, 1)
+	}
+	for _, send := range state.Tick(now) {
+		if _, ok := send.Message.(LoanRequest); ok {
+			return send
+		}
+	}
+	require.FailNow(t, "no request")
+	return Send{}
+}
+
+// TestHostsAnswerOnlyWhenClear guards against an owner that takes over while another one has lent more than its new
+// share, while a loan from an older table is in use, or for a table that the answering host does not hold.
+func TestHostsAnswerOnlyWhenClear(t *testing.T) {
+	owner, borrower, _ := grown(t)
+	question := TableQuestion{Generation: 2}
+	require.Empty(t, owner.Step(started, asker, question))
+	require.Empty(t, borrower.Step(started, asker, question))
+	later := started + 3*time.Second
+	require.Empty(t, owner.Step(later, asker, TableQuestion{Generation: 1}))
+	require.Empty(t, owner.Step(later, asker, TableQuestion{Generation: 3}))
+	for _, state := range []*State{owner, borrower} {
+		answers := state.Step(later, asker, question)
+		require.Equal(t, []Send{{asker.Host, TableAnswer{2, asker.Incarnation}}}, answers)
+	}
+}
+
+// TestNothingFromBeforeAfterTheAnswer guards against a late grant of an older table, or of an older run of the owner,
+// that a host uses after it has said that it uses nothing of the kind.
+func TestNothingFromBeforeAfterTheAnswer(t *testing.T) {
+	owner, borrower, _ := grown(t)
+	later := started + 3*time.Second
+	require.NotEmpty(t, borrower.Step(later, asker, TableQuestion{Generation: 2}))
+	send := firstRequest(t, borrower, later)
+	request := send.Message.(LoanRequest)
+	own := borrower.Usable(later, rateKey)
+	old := LoanGrant{rateKey, request.Nonce, 20, 1}
+	borrower.Step(later, Sender{Host: send.To}, old)
+	require.InDelta(t, own, borrower.Usable(later, rateKey), 1e-9)
+	borrower.Step(later, Sender{Host: send.To, Incarnation: 7}, TableQuestion{Generation: 9})
+	old.Generation = 2
+	borrower.Step(later, Sender{Host: send.To, Incarnation: 6}, old)
+	require.InDelta(t, own, borrower.Usable(later, rateKey), 1e-9)
+	borrower.Step(later, Sender{Host: send.To, Incarnation: 7}, old)
+	require.InDelta(t, own+20, borrower.Usable(later, rateKey), 1e-9)
+	require.Empty(t, owner.Step(later, Sender{Host: "not-in-the-table"}, request))
+}
+
+// TestAnswersAndGrantsBelongToOneRun guards against a restarted host that takes an answer or a grant for its former run
+// as its own.
+func TestAnswersAndGrantsBelongToOneRun(t *testing.T) {
+	table := Table{Generation: 1, Hosts: []TableHost{{ID: hostID(0)}, {ID: hostID(1)}}}
+	state := New(Config{Self: hostID(0), Run: 2 << 40})
+	state.SetGrant(0, rateKey, 200)
+	state.SetTable(0, table)
+	other := Sender{Host: hostID(1)}
+	state.Step(runOutTime, other, TableAnswer{1, 1 << 40})
+	require.Zero(t, state.Usable(runOutTime, rateKey))
+	state.Step(runOutTime, other, TableAnswer{1, 2 << 40})
+	require.InDelta(t, 100, state.Usable(runOutTime, rateKey), 1e-9)
+	former, present := New(Config{Self: hostID(0), Run: 1 << 40}), state
+	former.SetGrant(0, rateKey, 200)
+	former.SetTable(0, table)
+	request := firstRequest(t, former, runOutTime).Message.(LoanRequest)
+	firstRequest(t, present, runOutTime)
+	present.Step(runOutTime, other, LoanGrant{rateKey, request.Nonce, 50, 1})
+	require.InDelta(t, 100, present.Usable(runOutTime, rateKey), 1e-9)
+}
