--- /dev/null
+++ b/internal/server/execute.go
@@ -0,0 +1,149 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
+	"github.com/knapweedrouter/knapweedrouter/internal/execute"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/rumor"
+	"github.com/knapweedrouter/knapweedrouter/internal/ticket"
+)
+
+// joinExecute makes the engine of operations. It is called before the transport and the control loop start.
+func (s *Server) joinExecute(incarnation model.Incarnation) {
+	if s.fleet.control == nil {
+		return // the server does not start
+	}
+	s.executor = s.newExecutor(incarnation, s.fleet.transport, s.fleet.control)
+	s.operator.dumps.Add("admission", func() any { return s.admitter.load() })
+	s.operator.dumps.Add("quarantine", func() any { return s.guard.statistics() })
+	s.operator.dumps.Add("tickets", func() any { return s.executor.Statistics() })
+	s.stopHooks.handOver = append(s.stopHooks.handOver, func(ctx context.Context) {
+		s.handOverLedgers(ctx, s.executor, s.fleet.control)
+	})
+}
+
+// refusalOf returns the refusal of a request that no subsystem has looked at.
+func refusalOf(r *http.Request, reason *fault.Error) *fault.Error {
+	if r.URL.Path == callerapi.PathExecute {
+		return callerapi.Uncertain(reason)
+	}
+	return reason
+}
+
+// newExecutor returns an engine whose moves of ledgers are announced to all hosts.
+func (s *Server) newExecutor(incarnation model.Incarnation, transport peer.Transport, view control.View) *execute.Engine {
+	cfg := execute.Config{
+		Self:      ticket.Origin{Host: s.settings.HostID, Incarnation: incarnation},
+		Address:   s.settings.PeerListen,
+		Sealer:    s.newSealer(),
+		Targets:   s.ports.Targets,
+		Transport: transport,
+		View:      view,
+		Guard:     s.guard,
+		Admission: s.admitter,
+		Announce:  func(move execute.Move) { s.announceMove(view, move) },
+	}
+	s.guard.connect(view.Publish, view.Subscribe)
+	engine := execute.New(s.logger, cfg)
+	view.Subscribe(rumor.TopicLedger, func(notice rumor.Notice) {
+		var move execute.Move
+		if err := msgpack.Unmarshal(notice.Payload, &move); err == nil {
+			engine.LearnMove(move)
+		}
+	})
+	return engine
+}
+
+// newSealer reads the fleet keys. A host that can't read them does not start, so the key in their place is never used.
+func (s *Server) newSealer() *ticket.Sealer {
+	keys, err := s.fleetKeys()
+	if err != nil {
+		keys = [][]byte{trialKey}
+	}
+	sealer, err := ticket.NewSealer(keys...)
+	if err != nil {
+		panic(err) // there is a key
+	}
+	return sealer
+}
+
+func (s *Server) announceMove(view control.View, move execute.Move) {
+	payload, err := msgpack.Marshal(move)
+	if err != nil {
+		s.logger.Error("move of ledgers", zap.Error(err))
+		return
+	}
+	view.Publish(rumor.Notice{
+		Topic:   rumor.TopicLedger,
+		Key:     fmt.Sprintf("%s/%d", move.From.Host, move.From.Incarnation),
+		Epoch:   1,
+		Origin:  s.settings.HostID,
+		Payload: payload,
+	})
+}
+
+// maxSuccessors bounds the hosts that are asked to take the ledgers over.
+const maxSuccessors = 4
+
+// successors returns the addresses of the hosts that may take the ledgers of self over. Their order differs from host to
+// host, so that a data centre that is taken out doesn't give all of its ledgers to one host.
+func successors(self model.HostID, members []membership.Member, catalogue *model.Catalogue) []string {
+	candidates := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
+		return m.ID == self || m.State != membership.Alive || catalogue != nil && isHostOut(catalogue, m.ID, m.DataCentre)
+	})
+	slices.SortFunc(candidates, func(a, b membership.Member) int {
+		return cmp.Compare(pairHash(self, a.ID), pairHash(self, b.ID))
+	})
+	var addresses []string
+	for _, m := range candidates[:min(len(candidates), maxSuccessors)] {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+func pairHash(a, b model.HostID) uint64 { return xxhash.Sum64String(string(a) + "\x00" + string(b)) }
+
+const (
+	// servicePoll is the time between two looks whether this host is in service. Work ends 3 s after it is taken out.
+	servicePoll   = 250 * time.Millisecond
+	ledgerTimeout = 5 * time.Second
+)
+
+// followService hands the ledgers over when operators take this host or its data centre out of service, and starts an
+// empty one when it returns, until the context ends.
+func (s *Server) followService(ctx context.Context, engine *execute.Engine, view control.View) {
+	wasOut := false
+	for ; ctx.Err() == nil; pause(ctx, servicePoll) {
+		catalogue := view.Catalogue()
+		out := catalogue != nil && isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
+		switch {
+		case out && !wasOut:
+			s.handOverLedgers(ctx, engine, view)
+		case wasOut && !out:
+			engine.Reopen(model.Incarnation(time.Now().UnixNano()))
+		}
+		wasOut = out
+	}
+}
+
+// handOverLedgers gives the ledgers to another host that is alive and in service.
+func (s *Server) handOverLedgers(ctx context.Context, engine *execute.Engine, view control.View) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	engine.HandOver(ctx, successors(s.settings.HostID, view.Members(), view.Catalogue()))
+}
