Make the honesty tests notice lost hits

The run printed "ok": with a limit of 50 over 8 shards, half of a shard's hits still hold its share of the answer, so a truncated reply changed nothing.

Change: the honesty tests ask for 1,000 hits, so that every hit of a shard is in the answer, and every target truncates one reply in the HTTP test.

--- a/internal/query/differential_test.go
+++ b/internal/query/differential_test.go
@@ -71,7 +71,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(nil)
 			w.disturb(rand.New(rand.NewPCG(seed, 2)))
-			if honest(w.naive(rand.New(rand.NewPCG(seed, 3)), request()), request().Limit) != nil {
+			if honest(w.naive(rand.New(rand.NewPCG(seed, 3)), wholeRequest()), wholeRequest().Limit) != nil {
 				naiveLies++
 			}
 			time.Sleep(time.Minute)
@@ -79,7 +79,7 @@
 		inWorld(t, nil, func(w *world) {
 			w.disturb(rand.New(rand.NewPCG(seed, 2)))
 			for i := range 4 {
-				r := request()
+				r := wholeRequest()
 				r.Mode = []scatter.Mode{scatter.Fast, scatter.Full}[i%2]
 				result, query := w.explained(t, r)
 				require.NoError(t, honest(result, r.Limit), "seed %d query %d", seed, i)
@@ -105,12 +105,15 @@
 			client := targetclient.NewHTTPOver(4, network.Dial)
 			w.engine = New(zap.NewNop(), w.config(client))
 			rng := rand.New(rand.NewPCG(seed, 4))
-			w.search(t, request())
+			w.search(t, wholeRequest())
 			w.disturb(rng)
+			for _, x := range w.targets {
+				x.Inject(target.FaultTruncated, 1)
+			}
 			for range 3 {
 				w.targets[w.catalogue.Targets[rng.IntN(len(w.targets))].ID].SilenceConnections()
-				result := w.search(t, request())
-				require.NoError(t, honest(result, request().Limit), "seed %d", seed)
+				result := w.search(t, wholeRequest())
+				require.NoError(t, honest(result, wholeRequest().Limit), "seed %d", seed)
 				w.poll()
 			}
 			w.engine.Wait()
--- a/internal/query/world_test.go
+++ b/internal/query/world_test.go
@@ -130,6 +130,13 @@
 	return Request{Caller: "c", Search: "all", Query: json.RawMessage(`{"text":""}`), Limit: 50, Deadline: 100 * ms}
 }
 
+// wholeRequest takes in every hit of every shard, so that a lost one shows.
+func wholeRequest() Request {
+	r := request()
+	r.Limit = 1000
+	return r
+}
+
 func (w *world) search(t require.TestingT, r Request) Result {
 	result, _ := w.explained(t, r)
 	return result
