--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -69,7 +69,6 @@
 	searcher   Searcher
 	catalogues Catalogues
 	observer   *observer
-	isReady    func() error
 }
 
 // New returns the caller API. It adds its metrics to the set and its queries to the recorder.
@@ -82,13 +81,6 @@
 	}
 }
 
-// WithReady sets what the balancer learns beside the presence of a configuration: nil if the host takes new work, and
-// otherwise the reason why not.
-func (a *API) WithReady(ready func() error) *API {
-	a.isReady = ready
-	return a
-}
-
 // Handler returns the HTTP routes.
 func (a *API) Handler() http.Handler {
 	router := httprouter.New()
@@ -102,12 +94,6 @@
 		writeError(w, fault.As(err))
 		return
 	}
-	if a.isReady != nil {
-		if err := a.isReady(); err != nil {
-			writeError(w, fault.As(err))
-			return
-		}
-	}
 	writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
 }
 
--- a/internal/dev/datacentre.go
+++ b/internal/dev/datacentre.go
@@ -20,11 +20,11 @@
 	if err != nil {
 		return "", err
 	}
-	answered, err := c.checkLoad(outcomes)
+	answers, err := c.checkLoad(outcomes)
 	if err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%s; %d of %d searches meanwhile answered in full, none wrong or cut", seen, answered, len(outcomes)), nil
+	return seen + "; " + answers, nil
 }
 
 func (c *checker) leaveAndReturn(ctx context.Context, centre model.DataCentreID) (string, error) {
@@ -40,6 +40,9 @@
 		return "", err
 	}
 	end := time.Now()
+	if err := c.checkReadiness(ctx, centre); err != nil {
+		return "", err
+	}
 	if late := newJudge(c.env).workIn(centre, left.Add(leaveLimit), end); len(late) > 0 {
 		return "", fmt.Errorf("%s got %d attempts later than %s after it was taken out", centre, len(late), leaveLimit)
 	}
@@ -52,10 +55,25 @@
 	if err != nil {
 		return "", err
 	}
+	ready, cancel := context.WithTimeout(ctx, returnLimit)
+	defer cancel()
+	if err := c.traffic.awaitReady(ready, c.env.Hosts); err != nil {
+		return "", fmt.Errorf("after the return: %w", err)
+	}
 	return fmt.Sprintf("%s got its last attempt %d ms after it was taken out and work again %d ms after its return",
 		centre, last.Milliseconds(), back.Milliseconds()), nil
 }
 
+// checkReadiness asks every host as the balancer does. The hosts of the data centre must be not ready, the others ready.
+func (c *checker) checkReadiness(ctx context.Context, out model.DataCentreID) error {
+	for _, host := range c.env.Hosts {
+		if ready := c.traffic.isReady(ctx, host); ready == (host.Settings.DataCentre == out) {
+			return fmt.Errorf("%s in %s is ready: %t, while %s is out", host.Settings.HostID, host.Settings.DataCentre, ready, out)
+		}
+	}
+	return nil
+}
+
 // edit sends one edit and returns the time of its acceptance.
 func (c *checker) edit(ctx context.Context, edit change.Edit) (time.Time, error) {
 	request, err := c.request(ctx, edit)
@@ -89,21 +107,21 @@
 	return 0, fmt.Errorf("%s got no work within %s after its return", centre, returnLimit)
 }
 
-// checkLoad judges every search of the load and returns the number of those that were answered with full coverage.
-func (c *checker) checkLoad(outcomes []outcome) (int, error) {
+// checkLoad judges every search of the load and tells how many were answered with full coverage.
+func (c *checker) checkLoad(outcomes []outcome) (string, error) {
 	judge := newJudge(c.env)
 	whole := 0
 	last := "none"
 	for _, o := range outcomes {
 		if o.failure != nil {
-			return 0, fmt.Errorf("%s at %s: %w", o.marker, o.host.Settings.HostID, o.failure)
+			return "", fmt.Errorf("%s at %s: %w", o.marker, o.host.Settings.HostID, o.failure)
 		}
 		if !o.answered() {
 			last = fmt.Sprintf("%s at %s", o.reason(), o.host.Settings.HostID)
 			continue
 		}
 		if err := judge.check(o); err != nil {
-			return 0, err
+			return "", err
 		}
 		if o.reply.Coverage.Total == 0 || o.reply.Coverage.Answered < o.reply.Coverage.Total {
 			last = fmt.Sprintf("%d of %d shards at %s", o.reply.Coverage.Answered, o.reply.Coverage.Total, o.host.Settings.HostID)
@@ -112,7 +130,11 @@
 		whole++
 	}
 	if float64(whole) < minWholeLoad*float64(len(outcomes)) || whole == 0 {
-		return 0, fmt.Errorf("only %d of %d searches were answered with full coverage; the last other outcome: %s", whole, len(outcomes), last)
+		return "", fmt.Errorf("only %d of %d searches were answered with full coverage; the last other outcome: %s", whole, len(outcomes), last)
+	}
+	text := fmt.Sprintf("%d of %d searches answered in full, none wrong or cut", whole, len(outcomes))
+	if whole < len(outcomes) {
+		text += ", the last other outcome: " + last
 	}
-	return whole, nil
+	return text, nil
 }
--- a/internal/dev/outage.go
+++ b/internal/dev/outage.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return "", err
 	}
-	answered, err := c.checkLoad(outcomes)
+	answers, err := c.checkLoad(outcomes)
 	if err != nil {
 		return "", err
 	}
@@ -30,8 +30,8 @@
 	if err != nil {
 		return "", fmt.Errorf("after the store's return: %w", err)
 	}
-	return fmt.Sprintf("%d of %d searches answered in full in %s without the store; a change meanwhile was refused as %s; one after it in force after %d ms",
-		answered, len(outcomes), outagePeriod, refused, spread.Milliseconds()), nil
+	return fmt.Sprintf("%s in %s without the store; a change meanwhile was refused as %s; one after it in force after %d ms",
+		answers, outagePeriod, refused, spread.Milliseconds()), nil
 }
 
 // outage stops the store for a while. It returns the kind of the refusal of a change that was tried meanwhile.
--- a/internal/dev/restart.go
+++ b/internal/dev/restart.go
@@ -22,12 +22,12 @@
 	if err != nil {
 		return "", err
 	}
-	answered, err := c.checkLoad(outcomes)
+	answers, err := c.checkLoad(outcomes)
 	if err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%s stopped in %d ms and was ready again %d ms after its start; %d of %d searches meanwhile answered in full, none wrong or cut",
-		host.Settings.HostID, stopped.Milliseconds(), back.Milliseconds(), answered, len(outcomes)), nil
+	return fmt.Sprintf("%s stopped in %d ms and was ready again %d ms after its start; %s",
+		host.Settings.HostID, stopped.Milliseconds(), back.Milliseconds(), answers), nil
 }
 
 func (c *checker) stopAndStart(ctx context.Context, host *Host) (stopped, back time.Duration, err error) {
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -103,15 +103,24 @@
 	duties.Go(func() { s.fleet.control.Run(ctx) })
 }
 
-// Ready returns nil if this host takes new work, or the refusal to send.
+// Ready returns nil if this host can answer requests, or the refusal to send. A host that stops, or that is out of
+// service, still answers until the balancer has noticed; see the stopper.
 func (s *Server) Ready() error {
-	if err := s.stopper.ready(); err != nil {
-		return err
-	}
 	if s.fleet.control == nil {
 		return fault.New(fault.NotReady, fault.NotRun, "use another host", "this host has not joined the others")
 	}
-	return s.fleet.control.Ready()
+	if err := s.fleet.control.Ready(); err != nil {
+		return err
+	}
+	return s.heardFromTargets()
+}
+
+// readyForBalancer returns nil if the balancer should send requests to this host, or the reason why not.
+func (s *Server) readyForBalancer() error {
+	if err := s.stopper.ready(); err != nil {
+		return err
+	}
+	return s.Ready()
 }
 
 // apply notes that a catalogue is in force.
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -90,7 +90,7 @@
 		Tokens:  tokens,
 		Metrics: s.operator.metrics,
 		Dumps:   s.operator.dumps,
-		Ready:   s.Ready,
+		Ready:   s.readyForBalancer,
 		Routes:  []operatorapi.Routes{s.commands(), s.queries()},
 	})
 	return operatorListener{server: api.Server(), listener: listener}, nil
@@ -160,7 +160,7 @@
 		return float64(generation)
 	})
 	set.NewGauge("knapweedrouter_ready", func() float64 {
-		if s.Ready() != nil {
+		if s.readyForBalancer() != nil {
 			return 0
 		}
 		return 1
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder).WithReady(s.heardFromTargets)
+	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
 	httpServer := &http.Server{
 		Handler:           s.stopper.wrap(api.Handler()),
 		ReadTimeout:       readTimeout,
