--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -29,6 +30,9 @@
 	statusPollInterval = 250 * time.Millisecond
 	statusTimeout      = 200 * time.Millisecond
 	connectionsPerHost = 4
+	// idleTimeout is longer than usual balancers keep idle connections, so that a request doesn't meet a closing one.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
 )
 
 // Server is one host's process.
@@ -40,6 +44,9 @@
 	engine    *query.Engine
 	catalogue atomic.Pointer[model.Catalogue]
 	operator  *operatorState
+	guard     *guard
+	admitter  *admitter
+	executor  *execute.Engine
 	fleet     fleetState
 	stopper   stopper
 	stopHooks stopHooks
@@ -67,15 +74,19 @@
 func New(logger *zap.Logger, s settings.Settings, ports Ports) *Server {
 	reports := inventory.New()
 	incarnation := model.Incarnation(time.Now().UnixNano())
+	guard := newGuard(logger, s.HostID)
 	server := &Server{
 		logger:    logger,
 		settings:  s,
 		ports:     ports,
 		inventory: reports,
-		engine:    newEngine(logger, s, ports, reports, incarnation),
+		engine:    newEngine(logger, s, ports, reports, incarnation, guard),
 		operator:  newOperatorState(incarnation),
+		guard:     guard,
+		admitter:  newAdmitter(nil),
 	}
 	server.joinFleet(incarnation)
+	server.joinExecute(incarnation)
 	return server
 }
 
@@ -96,11 +107,15 @@
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, s.engine, s, s.operator.metrics, s.operator.recorder)
+	api := callerapi.New(s.logger, guardedSearcher{s.engine, s.guard}, s, s.operator.metrics, s.operator.recorder)
+	api.SetExecutor(s.executor)
+	api.SetAdmission(s.admitter)
 	httpServer := &http.Server{
 		Handler:           s.stopper.wrap(api.Handler()),
 		ReadTimeout:       readTimeout,
 		ReadHeaderTimeout: readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	stopping := ctx.Done()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -108,6 +123,8 @@
 	var duties conc.WaitGroup
 	s.startFleet(ctx, &duties, peers)
 	duties.Go(func() { s.pollStatuses(ctx) })
+	duties.Go(func() { s.admitter.run(ctx) })
+	duties.Go(func() { s.followService(ctx, s.executor, s.fleet.control) })
 	duties.Go(func() { s.followOut(ctx) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 	duties.Go(func() {
