--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -107,8 +107,7 @@
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, guardedSearcher{s.engine, s.guard}, s, s.operator.metrics, s.operator.recorder).
-		WithReady(s.heardFromTargets)
+	api := callerapi.New(s.logger, guardedSearcher{s.engine, s.guard}, s, s.operator.metrics, s.operator.recorder)
 	api.SetExecutor(s.executor)
 	api.SetAdmission(s.admitter)
 	httpServer := &http.Server{
