--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -193,3 +194,48 @@
 	b.ReportMetric(0, "ns/op") // the wall time of a run says nothing
 	runtime.KeepAlive(r)
 }
+
+// BenchmarkMembership measures how long the hosts take to learn of a death and of the next run of the host.
+func BenchmarkMembership(b *testing.B) {
+	for _, hosts := range []int{12, 100, 1000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				r := newBenchRun(b, hosts)
+				r.advance(10*time.Second, nil)
+				victim := r.hosts[hosts/2]
+				r.stop(victim)
+				r.reportAwait("dead", func(m membership.Member) bool { return m.State == membership.Dead }, victim)
+				r.start(victim)
+				r.reportAwait("back", func(m membership.Member) bool {
+					return m.State == membership.Alive && m.Incarnation == model.Incarnation(victim.run)
+				}, victim)
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// reportAwait reports the time until 99.9 % and all of the hosts hold what is true of a member.
+func (r *benchRun) reportAwait(name string, holds func(membership.Member) bool, victim *simHost) {
+	start := r.now
+	most := time.Duration(0)
+	for r.now-start < 2*time.Minute {
+		r.advance(50*time.Millisecond, nil)
+		done := 0
+		for _, h := range r.hosts {
+			member, _, ok := h.node.members.Lookup(victim.self.ID)
+			if h == victim || ok && holds(member) {
+				done++
+			}
+		}
+		if most == 0 && 1000*done >= 999*len(r.hosts) {
+			most = r.now - start
+		}
+		if done == len(r.hosts) {
+			r.b.ReportMetric(most.Seconds(), "s-"+name+"-99.9%")
+			r.b.ReportMetric((r.now - start).Seconds(), "s-"+name+"-100%")
+			return
+		}
+	}
+	r.b.Fatalf("not every host holds %s after two minutes", name)
+}
