Dump the state of the engine, and end connections to removed targets

Cause: the state dump lacked what the engine knows (in-flight attempts, limits, percentiles, budgets), and nothing called KeepOnly.

Ruled out: a call of KeepOnly at each accepted generation; the poll of the statuses reads the catalogue anyway, four times a second.

Change: Engine.State in the dump "query"; the poll keeps only the connections to targets of the catalogue. TestPlaceIsHeldUntilOwnReply also checks that State shows no attempt in flight after the end.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -27,6 +27,9 @@
 // Earn adds the share of one first attempt.
 func (b *Bucket) Earn() { b.tokens = min(b.cfg.Burst, b.tokens+b.cfg.Share) }
 
+// Tokens returns the number of extra attempts that are saved up.
+func (b *Bucket) Tokens() float64 { return b.tokens }
+
 // CanSpend tells whether one extra attempt is within the budget and leaves the reserve, a share of the burst.
 func (b *Bucket) CanSpend(reserve float64) bool { return b.tokens >= 1+reserve*b.cfg.Burst }
 
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -255,6 +255,9 @@
 			}
 		}
 		w.engine.Wait()
+		for id, state := range w.engine.State().Targets {
+			require.Zero(t, state.InFlight, id)
+		}
 		for id, taken := range g.taken {
 			require.Zero(t, taken, id)
 		}
--- a/internal/query/record.go
+++ b/internal/query/record.go
@@ -91,6 +91,6 @@
 }
 
 // since returns the milliseconds since the start of the query.
-func since(e *explain.Record) float64 {
-	return float64(time.Since(e.Started)) / float64(time.Millisecond)
-}
+func since(e *explain.Record) float64 { return milliseconds(time.Since(e.Started)) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -150,6 +150,7 @@
 	dumps.Add("settings", func() any { return s.settings })
 	dumps.Add("configuration", func() any { return s.configurationStatus() })
 	dumps.Add("catalogue", func() any { return s.Catalogue() })
+	dumps.Add("query", func() any { return s.engine.State() })
 	dumps.Add("inventory", func() any { return s.inventory.All() })
 }
 
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -12,11 +12,17 @@
 
 const statusPollers = 16
 
+// connectionKeeper is a target client that can end the connections to targets that have left the catalogue.
+type connectionKeeper interface{ KeepOnly(targets []model.Target) }
+
 // pollStatuses asks every target for its report, again and again.
 func (s *Server) pollStatuses(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
 		if catalogue := s.Catalogue(); catalogue != nil {
+			if keeper, ok := s.ports.Targets.(connectionKeeper); ok {
+				keeper.KeepOnly(catalogue.Targets)
+			}
 			s.pollOnce(ctx, catalogue.Targets)
 			s.operator.polled.Store(true)
 		}
