Count a lost run alone beside an earlier run, and forget removed targets

Cause: when two attempts of one request were at a lost target, the order of a map decided whether the run alone counted; and the guard kept the state of targets that operators had removed. Change: a request counts as alone if any of its attempts was; the guard forgets targets that the catalogue does not name. Shown failing: without the first, 'expected 4, actual 2' in TestRunAloneCountsBesideAnEarlierRun. Conclusion: tests of quarantine and server pass with the race detector.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -51,8 +51,14 @@
 func (s *State) present(target model.TargetID) []Entry {
 	var entries []Entry
 	for _, a := range s.inFlight[target] {
-		known := slices.ContainsFunc(entries, func(e Entry) bool { return e.Fingerprint == a.Fingerprint })
-		if !known && !a.afterLoss && len(entries) < maxSuspectsPerLoss {
+		if a.afterLoss {
+			continue
+		}
+		at := slices.IndexFunc(entries, func(e Entry) bool { return e.Fingerprint == a.Fingerprint })
+		switch {
+		case at >= 0:
+			entries[at].Alone = entries[at].Alone || a.Alone
+		case len(entries) < maxSuspectsPerLoss:
 			entries = append(entries, Entry{Fingerprint: a.Fingerprint, Caller: a.Caller, Alone: a.Alone})
 		}
 	}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -79,3 +79,17 @@
 	s.Lost(0, id, "a")
 	require.Equal(t, Alone, s.Admit(0, 7).Verdict, "the next run of the target counts again")
 }
+
+// TestRunAloneCountsBesideAnEarlierRun guards against a lost run alone that an earlier run of the same request at the same
+// target hides.
+func TestRunAloneCountsBesideAnEarlierRun(t *testing.T) {
+	for range 20 { // the order of a map must not matter
+		s := New("h")
+		lose(s, "a", 1, 0)
+		s.Seen(0, "b", 1)
+		s.Started(Attempt{ID: model.AttemptID{Sequence: 8}, Target: "b", Fingerprint: 1})
+		s.Started(Attempt{ID: model.AttemptID{Sequence: 9}, Target: "b", Fingerprint: 1, Alone: true})
+		s.Lost(0, model.AttemptID{Sequence: 8}, "b")
+		require.Equal(t, Quarantined, s.Admit(0, 1).Verdict)
+	}
+}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -181,6 +181,17 @@
 	})
 }
 
+// forget drops the state of targets that the catalogue does not name any more.
+func (g *guard) forget(targets []model.Target) {
+	known := make(map[model.TargetID]bool, len(targets))
+	for _, target := range targets {
+		known[target.ID] = true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.state.Forget(func(id model.TargetID) bool { return known[id] })
+}
+
 // statistics returns the state for dumps.
 func (g *guard) statistics() quarantine.Statistics {
 	g.mu.Lock()
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -38,6 +38,7 @@
 		})
 	}
 	pollers.Wait()
+	s.guard.forget(targets)
 }
 
 // heardFromTargets returns nil once every target was asked for its report. Before that, answers would miss shards.
