Document taking hosts and data centres out, store outages and every refusal

Change: docs/operators has a page for each; a test compares the table of refusals with the kinds of internal/fault.

--- a/internal/callerapi/observe_test.go
+++ b/internal/callerapi/observe_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -116,3 +117,16 @@
 		require.Equal(t, int64(1000-logBurst), lines.All()[logBurst+1].ContextMap()["suppressed"])
 	})
 }
+
+// Guards against a kind of refusal that the documentation does not explain.
+func TestRefusalsAreDocumented(t *testing.T) {
+	documented, err := os.ReadFile("../../docs/operators/metrics.md")
+	require.NoError(t, err)
+	source, err := os.ReadFile("../fault/fault.go")
+	require.NoError(t, err)
+	kinds := regexp.MustCompile(`Kind = "([a-z_]+)"`).FindAllStringSubmatch(string(source), -1)
+	require.NotEmpty(t, kinds)
+	for _, kind := range kinds {
+		require.Contains(t, string(documented), "| `"+kind[1]+"` |")
+	}
+}
