--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -111,3 +112,23 @@
 		require.Contains(t, string(reference), "| `"+field+"` |")
 	}
 }
+
+// Guards against examples that a host refuses.
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/host-*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		require.NoError(t, err)
+		_, faults := Decode(content)
+		require.Empty(t, faults, file)
+	}
+	reference, err := os.ReadFile("../../docs/settings.md")
+	require.NoError(t, err)
+	_, example, found := strings.Cut(string(reference), "```json\n")
+	require.True(t, found)
+	example, _, _ = strings.Cut(example, "```")
+	_, faults := Decode([]byte(example))
+	require.Empty(t, faults)
+}
