Tell operators which hosts are fenced

Cause: the configuration status had a field for the fence that nobody filled in. Change: each host reports its fence, and config status names the fenced hosts.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -80,6 +80,9 @@
 	}
 	fmt.Printf("generation %d is in force on %d of %d hosts; first to last host: %d ms\n",
 		status.Generation, status.InForce, status.Hosts, status.SpreadMS)
+	if len(status.Fenced) > 0 {
+		fmt.Printf("fenced, and therefore refusing new work: %v\n", status.Fenced)
+	}
 	if len(status.Lagging) == 0 {
 		return nil
 	}
--- a/internal/operatorapi/operatorwire/replies.go
+++ b/internal/operatorapi/operatorwire/replies.go
@@ -70,4 +70,6 @@
 	SpreadMS int64 `json:"spread_ms"`
 	// Lagging are the hosts that have an older generation or did not answer.
 	Lagging []HostStatus `json:"lagging"`
+	// Fenced are the hosts that refuse new work because they may be cut off, whatever their generation.
+	Fenced []model.HostID `json:"fenced"`
 }
--- a/internal/operatorapi/query/status.go
+++ b/internal/operatorapi/query/status.go
@@ -74,10 +74,14 @@
 
 // Summarize tells how far the newest generation among the statuses has spread.
 func Summarize(statuses []operatorwire.HostStatus) operatorwire.ConfigurationStatus {
-	result := operatorwire.ConfigurationStatus{Hosts: len(statuses), Lagging: []operatorwire.HostStatus{}}
+	result := operatorwire.ConfigurationStatus{Hosts: len(statuses), Lagging: []operatorwire.HostStatus{}, Fenced: []model.HostID{}}
 	for _, status := range statuses {
 		result.Generation = max(result.Generation, status.Generation)
+		if status.Fenced {
+			result.Fenced = append(result.Fenced, status.Host)
+		}
 	}
+	slices.Sort(result.Fenced)
 	var ages []int64
 	for _, status := range statuses {
 		if status.Failure != "" || !isInForce(status, result.Generation) {
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -133,6 +133,7 @@
 		DataCentre: s.settings.DataCentre,
 		Generation: generation,
 		InForceMS:  age.Milliseconds(),
+		Fenced:     s.fleet.control != nil && s.fleet.control.Fenced(),
 	}
 }
 
