--- a/internal/dev/check.go
+++ b/internal/dev/check.go
@@ -51,6 +51,7 @@
 	c.step("sample searches", func() (string, error) { return c.samples(ctx) })
 	c.step("operations under tickets", func() (string, error) { return c.operations(ctx) })
 	c.step("operator's change", func() (string, error) { return c.change(ctx) })
+	c.step("operators' race", func() (string, error) { return c.race(ctx) })
 	c.step("data centre out and back", func() (string, error) { return c.dataCentre(ctx) })
 	c.step("planned stop of a host", func() (string, error) { return c.restart(ctx) })
 	c.step("store outage", func() (string, error) { return c.storeOutage(ctx) })
@@ -160,14 +161,15 @@
 	return c.request(ctx, change.Edit{Op: change.Put, Kind: change.Caller, ID: id, Value: entry})
 }
 
-// request returns a change that is based on the newest generation that the first host knows.
+// request returns a change that is based on the newest generation that any host has in force. The generation of one host
+// may still be older, shortly after another change.
 func (c *checker) request(ctx context.Context, edits ...change.Edit) (operatorwire.ChangeRequest, error) {
-	catalogue, err := c.env.Operators(0).Catalogue(ctx)
+	status, err := c.env.Operators(0).Status(ctx)
 	if err != nil {
 		return operatorwire.ChangeRequest{}, err
 	}
 	return operatorwire.ChangeRequest{Change: change.Change{
-		ID: operatorclient.NewChangeID(), BasedOn: catalogue.Generation, Author: "dev", Reason: "check", Edits: edits,
+		ID: operatorclient.NewChangeID(), BasedOn: status.Generation, Author: "dev", Reason: "check", Edits: edits,
 	}}, nil
 }
 
