Admit as many queries of a search as its smallest group has places

Cause: at twice the capacity 256 queries could run at each host, far more than the targets take, and queries that held places at most groups waited for the full ones until their deadline. Ruled out: a limit that follows missed deadlines, since a caller with deadlines that can't be met presses it down.

Change: each search has its own controller, and its limit is the sum of the limits on attempts in flight at the group with the fewest places. Those follow what the targets shed.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -153,6 +153,9 @@
 	return c.startNext(now)
 }
 
+// SetLimit sets the number of requests that may run at once, at least 1. It replaces the limiter of the configuration.
+func (c *Controller) SetLimit(limit int) { c.limiter = concurrency.Fixed(limit) }
+
 // Expire removes the waiting requests that can't end before their deadline any more and returns them.
 func (c *Controller) Expire(now time.Duration) []Request {
 	var expired []Request
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/concurrency"
 	"github.com/knapweedrouter/knapweedrouter/internal/explain"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/gate"
@@ -312,3 +313,20 @@
 		require.LessOrEqual(t, time.Since(started), 35*ms)
 	})
 }
+
+// TestCapacityFollowsTheSmallestGroup guards against admitting more queries than the group with the fewest places can take,
+// so that the others' places are held by queries that wait.
+func TestCapacityFollowsTheSmallestGroup(t *testing.T) {
+	inWorld(t, func(*Config) {}, func(w *world) {
+		before := w.engine.Capacity(w.catalogue, w.catalogue.Searches[0].ID)
+		for _, id := range w.catalogue.Indexes[0].Groups[0].Targets {
+			state := w.engine.currentView(w.catalogue, w.engine.now()).targets[id]
+			state.mu.Lock()
+			state.limiter = concurrency.Fixed(1)
+			state.mu.Unlock()
+		}
+		after := w.engine.Capacity(w.catalogue, w.catalogue.Searches[0].ID)
+		require.Less(t, after, before)
+		require.Equal(t, len(w.catalogue.Indexes[0].Groups[0].Targets), after)
+	})
+}
--- a/internal/server/admission.go
+++ b/internal/server/admission.go
@@ -32,25 +32,42 @@
 	started time.Time
 	limits  gate.CallerLimits // nil means no limits over all hosts
 
-	mu         sync.Mutex
-	controller *admission.Controller
-	lastID     uint64
-	waiting    map[uint64]chan bool // receives true when the request starts, false when it is too late
+	// capacity returns the number of requests of a work that may run at once; nil means maxRunning.
+	capacity func(work string) int
+
+	mu          sync.Mutex
+	controllers map[string]*admission.Controller // by work: each work has targets of its own
+	lastID      uint64
+	waiting     map[uint64]chan bool // receives true when the request starts, false when it is too late
 }
 
 var _ execute.Admission = (*admitter)(nil)
 
 func newAdmitter(limits gate.CallerLimits) *admitter {
 	return &admitter{
-		started: time.Now(),
-		limits:  limits,
-		waiting: map[uint64]chan bool{},
-		controller: admission.New(admission.Config{
+		started:     time.Now(),
+		limits:      limits,
+		waiting:     map[uint64]chan bool{},
+		controllers: map[string]*admission.Controller{},
+	}
+}
+
+// controllerOf returns the controller of a work with the present limit. It runs under the mutex. The callers of the
+// admitter have checked that the catalogue has the work, so that their number is bounded.
+func (a *admitter) controllerOf(work string) *admission.Controller {
+	controller := a.controllers[work]
+	if controller == nil {
+		controller = admission.New(admission.Config{
 			Running:        concurrency.Config{Variant: concurrency.VariantFixed, Initial: maxRunning, Max: maxRunning},
 			QueuePerCaller: queuePerCaller,
 			Latency:        firstLatency,
-		}),
+		})
+		a.controllers[work] = controller
+	}
+	if a.capacity != nil {
+		controller.SetLimit(a.capacity(work))
 	}
+	return controller
 }
 
 // run refuses waiting requests that have become too late, until the context ends.
@@ -95,7 +112,7 @@
 	a.mu.Lock()
 	a.lastID++
 	id := a.lastID
-	decision := a.controller.Offer(time.Since(a.started), admission.Request{
+	decision := a.controllerOf(work).Offer(time.Since(a.started), admission.Request{
 		ID: id, Caller: caller.ID, Class: caller.Class, Work: work, Cost: cost, Deadline: deadline.Sub(a.started),
 	})
 	var starts chan bool
@@ -146,14 +163,16 @@
 func (a *admitter) expire() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.notify(a.controller.Expire(time.Since(a.started)), false)
-	a.controller.Forget()
+	for _, controller := range a.controllers {
+		a.notify(controller.Expire(time.Since(a.started)), false)
+		controller.Forget()
+	}
 }
 
 func (a *admitter) finish(work string, latency time.Duration, outcome concurrency.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.notify(a.controller.Finish(time.Since(a.started), work, latency, outcome), true)
+	a.notify(a.controllerOf(work).Finish(time.Since(a.started), work, latency, outcome), true)
 }
 
 // notify tells the waiting requests what became of them. It runs under the mutex.
@@ -164,11 +183,15 @@
 	}
 }
 
-// load returns the present load for state dumps.
-func (a *admitter) load() admission.Load {
+// load returns the present load of each work for state dumps.
+func (a *admitter) load() map[string]admission.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.Load()
+	loads := make(map[string]admission.Load, len(a.controllers))
+	for work, controller := range a.controllers {
+		loads[work] = controller.Load()
+	}
+	return loads
 }
 
 // outcomeOf tells whether the end of a request is a sample of the latency.
@@ -178,3 +201,12 @@
 	}
 	return concurrency.Neutral
 }
+
+// capacity returns the number of requests of a search or service that this host runs at once.
+func (s *Server) capacity(work string) int {
+	catalogue := s.Catalogue()
+	if catalogue == nil {
+		return maxRunning
+	}
+	return min(maxRunning, s.engine.Capacity(catalogue, model.SearchID(work)))
+}
--- a/internal/server/admission_test.go
+++ b/internal/server/admission_test.go
@@ -78,8 +78,11 @@
 		require.Zero(t, refused)
 		cancel()
 		duty.Wait()
-		require.Zero(t, a.load().Running)
-		require.Zero(t, a.load().Waiting)
+		require.NotEmpty(t, a.load())
+		for work, load := range a.load() {
+			require.Zero(t, load.Running, work)
+			require.Zero(t, load.Waiting, work)
+		}
 	})
 	synctest.Test(t, func(t *testing.T) {
 		wait, _ := p99(make(naiveAdmission, maxRunning))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,6 +85,7 @@
 		guard:     guard,
 		admitter:  newAdmitter(nil),
 	}
+	server.admitter.capacity = server.capacity
 	server.joinFleet(incarnation)
 	server.joinExecute(incarnation)
 	return server
