Wire limits, eligibility and cold targets into the host

It now asks for 4 % of the grant at least, counts every unit refused in a slot, and Take waits up to 0.2 s while the host borrows for a caller that it has not served lately (64 requests at most). - A host kept an unused permit for 1 s, while the others waited for it. It now keeps it for 0.2 s. The load shifts as the hosts learn of the change one after the other, and comes back gradually by the cold start.

--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -7,15 +7,9 @@
 	"cmp"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
-// shiftTime is the time over which the targets of a data centre that is out leave one by one, so that the load of the
-// others grows gradually. A host learns a generation within 2.5 s, so new work has stopped after 2.9 s.
-const shiftTime = 400 * time.Millisecond
-
 // Statement is ordered evidence about a target's own state.
 type Statement struct {
 	Target      model.TargetID    `msgpack:"target" json:"target"`
@@ -49,8 +43,7 @@
 // State holds the newest evidence.
 type State struct {
 	generation model.Generation
-	// centresOut holds the time at which this host learned that a data centre is out.
-	centresOut map[model.DataCentreID]time.Duration
+	centresOut map[model.DataCentreID]bool
 	hostsOut   map[model.HostID]bool
 	centreOf   map[model.TargetID]model.DataCentreID
 	targets    map[model.TargetID]target
@@ -64,14 +57,17 @@
 
 // SetCatalogue applies a catalogue, unless a newer one was applied, and returns the targets that came back into service
 // by it: those of a data centre that is no longer out, and those added again. They start cold.
-func (s *State) SetCatalogue(now time.Duration, catalogue *model.Catalogue) (returned []model.TargetID) {
+func (s *State) SetCatalogue(catalogue *model.Catalogue) (returned []model.TargetID) {
 	if s.generation != 0 && catalogue.Generation <= s.generation {
 		return nil
 	}
 	first := s.generation == 0
 	before := s.inService()
 	s.generation = catalogue.Generation
-	s.centresOut = s.leavingCentres(now, first, catalogue.DataCentresOut)
+	s.centresOut = map[model.DataCentreID]bool{}
+	for _, out := range catalogue.DataCentresOut {
+		s.centresOut[out.ID] = true
+	}
 	s.hostsOut = map[model.HostID]bool{}
 	for _, out := range catalogue.HostsOut {
 		s.hostsOut[out.ID] = true
@@ -81,46 +77,17 @@
 		s.centreOf[t.ID] = t.DataCentre
 	}
 	for _, t := range catalogue.Targets {
-		if !first && !before[t.ID] && !s.isOut(t.DataCentre) {
+		if !first && !before[t.ID] && !s.centresOut[t.DataCentre] {
 			returned = append(returned, t.ID)
 		}
 	}
 	return returned
 }
 
-// leavingCentres keeps the times of data centres that were out before. A host that has just started sends them nothing.
-func (s *State) leavingCentres(now time.Duration, first bool, out []model.DataCentreOut) map[model.DataCentreID]time.Duration {
-	result := make(map[model.DataCentreID]time.Duration, len(out))
-	for _, centre := range out {
-		since, known := s.centresOut[centre.ID]
-		switch {
-		case known:
-		case first:
-			since = now - shiftTime
-		default:
-			since = now
-		}
-		result[centre.ID] = since
-	}
-	return result
-}
-
-func (s *State) isOut(centre model.DataCentreID) bool {
-	_, out := s.centresOut[centre]
-	return out
-}
-
-// hasLeft tells whether a target's own moment within the shift time has passed.
-func (s *State) hasLeft(now time.Duration, id model.TargetID, centre model.DataCentreID) bool {
-	since, out := s.centresOut[centre]
-	moment := time.Duration(xxhash.Sum64String(string(id)) % uint64(shiftTime))
-	return out && now-since >= moment
-}
-
 func (s *State) inService() map[model.TargetID]bool {
 	result := map[model.TargetID]bool{}
 	for id, centre := range s.centreOf {
-		result[id] = !s.isOut(centre)
+		result[id] = !s.centresOut[centre]
 	}
 	return result
 }
@@ -159,14 +126,14 @@
 }
 
 // Target tells whether a target may get new work. Its phase is not considered.
-func (s *State) Target(now time.Duration, id model.TargetID) bool {
+func (s *State) Target(id model.TargetID) bool {
 	centre, known := s.centreOf[id]
-	return known && !s.hasLeft(now, id, centre) && !s.targets[id].Draining
+	return known && !s.centresOut[centre] && !s.targets[id].Draining
 }
 
 // Host tells whether a run of a host may get new work from other hosts.
 func (s *State) Host(id model.HostID, incarnation model.Incarnation, centre model.DataCentreID) bool {
-	return !s.hostsOut[id] && !s.isOut(centre) && s.leaving[id] < max(incarnation, 1)
+	return !s.hostsOut[id] && !s.centresOut[centre] && s.leaving[id] < max(incarnation, 1)
 }
 
 // Incarnation returns the newest known incarnation of a target; 0 if none is known.
--- a/internal/execute/holder.go
+++ b/internal/execute/holder.go
@@ -163,8 +163,28 @@
 	last       error
 }
 
+// gateRetry is the time between two looks for a target that takes work.
+const gateRetry = 20 * time.Millisecond
+
+// run waits for a target that takes work, for half of the time that is left at most. Permits of cold targets are few and
+// may have to be borrowed from another host first.
 func (s *sending) run(ctx context.Context, targets []model.Target) ([]byte, error) {
-	asked := 0
+	patience := time.Now().Add(time.Until(s.deadline) / 2)
+	for {
+		result, asked, err := s.round(ctx, targets)
+		if err == nil || asked > 0 || len(targets) == 0 || time.Now().After(patience) {
+			return result, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(gateRetry):
+		}
+	}
+}
+
+// round asks the targets one after the other. asked is the number of those that were sent the operation.
+func (s *sending) round(ctx context.Context, targets []model.Target) (result []byte, asked int, err error) {
 	for _, target := range targets {
 		if asked == maxTargets || ctx.Err() != nil {
 			break
@@ -176,7 +196,7 @@
 		asked++
 		reply, err := s.send(ctx, target, release)
 		if err == nil {
-			return reply.Result, nil
+			return reply.Result, asked, nil
 		}
 		s.last = err
 		if targetclient.IsNotRun(err) {
@@ -188,7 +208,7 @@
 		}
 		s.repeatable = false
 	}
-	return nil, s.failure(asked)
+	return nil, asked, s.failure(asked)
 }
 
 func (s *sending) acquire(target model.TargetID) (gate.Release, bool) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -60,7 +60,7 @@
 }
 
 // CallerLimits holds callers to the limits of their catalogue entries over all hosts. Implementations are safe for
-// concurrent use and do not block.
+// concurrent use. Take waits for up to 0.2 s while this host borrows for a caller that it has not served lately.
 type CallerLimits interface {
 	// Take admits one request that ends at the deadline and first needs cost target attempts. The errors are
 	// *fault.Error of kind RateLimited with execution not_run. When err is nil, release must be called once at the end
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -3,26 +3,24 @@
 import (
 	"go.uber.org/zap"
 
-	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
 	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
 )
 
-// newEngine returns the query engine of the host.
-func newEngine(
-	logger *zap.Logger, s settings.Settings, ports Ports, reports *inventory.Inventory, incarnation model.Incarnation,
-	observer query.Observer,
-) *query.Engine {
-	return query.New(logger, query.Config{
-		Client:      ports.Targets,
-		Inventory:   reports,
-		Host:        s.HostID,
+// newEngine returns the query engine of the host. It is called after joinGates.
+func (s *Server) newEngine(incarnation model.Incarnation) *query.Engine {
+	return query.New(s.logger, query.Config{
+		Client:      s.ports.Targets,
+		Inventory:   s.inventory,
+		Host:        s.settings.HostID,
 		Incarnation: incarnation,
-		Keys:        fleetKeys(logger, s),
+		Keys:        fleetKeys(s.logger, s.settings),
 		Seed:        uint64(incarnation),
-		Observer:    observer,
+		Observer:    s.guard,
+		Gate:        s.targetGate(),
+		Limits:      s.callerLimits(),
 	})
 }
 
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -54,6 +54,7 @@
 		Targets:   s.ports.Targets,
 		Transport: transport,
 		View:      view,
+		Gate:      s.targetGate(),
 		Guard:     s.guard,
 		Admission: s.admitter,
 		Announce:  func(move execute.Move) { s.announceMove(view, move) },
--- a/internal/server/gate_callers.go
+++ b/internal/server/gate_callers.go
@@ -9,6 +9,18 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/share"
 )
 
+const (
+	// borrowWait bounds the wait of a request for the first loan.
+	borrowWait = 200 * time.Millisecond
+	// borrowPoll is the time between two looks whether a loan has arrived.
+	borrowPoll = 5 * time.Millisecond
+	// newDemand is the time for which a caller counts as not served lately. Requests over the limit are refused at once
+	// afterwards.
+	newDemand = 300 * time.Millisecond
+	// maxBorrowWaiters bounds the requests that wait for a loan at this host.
+	maxBorrowWaiters = 64
+)
+
 // borrowTime is the time after which a refused caller may find that this host has borrowed more of its grant.
 const borrowTime = 200 * time.Millisecond
 
@@ -20,18 +32,48 @@
 		return nil, fault.New(fault.CutOff, fault.NotRun, "use another host",
 			"this host may be cut off from configuration changes")
 	}
-	remaining := time.Until(deadline)
+	for start := time.Now(); ; {
+		release, mayWait, err := g.tryTake(caller, cost, time.Until(deadline))
+		if err == nil {
+			return release, nil
+		}
+		g.hasten()
+		limit := min(borrowWait, time.Until(deadline)/4)
+		if !mayWait || time.Since(start) >= limit || !g.awaitLoan(limit-time.Since(start)) {
+			return nil, err
+		}
+	}
+}
+
+// tryTake takes what a request needs at once. mayWait tells whether this host may only not have borrowed yet.
+func (g *gates) tryTake(caller model.CallerID, cost float64, remaining time.Duration) (release func(), mayWait bool, err error) {
 	g.do(func(now time.Duration) {
 		var unit share.Unit
 		if unit, err = g.take(now, caller, cost, remaining); err == nil {
 			release = func() { g.do(func(now time.Duration) { g.shares.Release(now, unit) }) }
 		}
+		mayWait = g.shares.IsNewDemand(now, rateKey(caller), newDemand) || g.hasNothing(now, caller)
 	})
-	if err != nil {
-		g.hasten()
-		return nil, err
+	return release, mayWait, err
+}
+
+// hasNothing tells whether this host may use nothing of one of the caller's limits.
+func (g *gates) hasNothing(now time.Duration, caller model.CallerID) bool {
+	return g.shares.Usable(now, rateKey(caller)) == 0 || g.shares.Usable(now, costKey(caller)) == 0 ||
+		g.shares.Usable(now, inFlightKey(caller)) == 0
+}
+
+// awaitLoan waits a little for a loan to arrive. It returns false if too many requests wait already.
+func (g *gates) awaitLoan(limit time.Duration) bool {
+	if g.waiting.Add(1) > maxBorrowWaiters {
+		g.waiting.Add(-1)
+		return false
 	}
-	return release, nil
+	defer g.waiting.Add(-1)
+	timer := time.NewTimer(min(limit, borrowPoll))
+	defer timer.Stop()
+	<-timer.C
+	return true
 }
 
 func (g *gates) take(now time.Duration, caller model.CallerID, cost float64, remaining time.Duration) (share.Unit, error) {
--- a/internal/server/gate_stop.go
+++ b/internal/server/gate_stop.go
@@ -6,7 +6,6 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coldstart"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
-	"github.com/knapweedrouter/knapweedrouter/internal/rumor"
 )
 
 // handOver gives back what this host has borrowed, so that others can use it before the loans end. Its own shares pass on
@@ -15,13 +14,6 @@
 	g.do(func(now time.Duration) { g.sends = append(g.sends, g.shares.ReturnAll(now)...) })
 }
 
-// announceLeave tells the other hosts that this run of the host is leaving.
-func (g *gates) announceLeave(incarnation model.Incarnation) {
-	g.view.Publish(rumor.Notice{
-		Topic: rumor.TopicLeave, Key: string(g.self), Epoch: uint64(incarnation), Origin: g.self,
-	})
-}
-
 // targetPhase is the state of one target in dumps.
 type targetPhase struct {
 	Target    model.TargetID  `json:"target"`
@@ -43,7 +35,7 @@
 			return
 		}
 		for _, t := range g.catalogue.Targets {
-			state := targetPhase{Target: t.ID, Phase: g.phases.Phase(t.ID), Eligible: g.eligibility.Target(now, t.ID)}
+			state := targetPhase{Target: t.ID, Phase: g.phases.Phase(t.ID), Eligible: g.eligibility.Target(t.ID)}
 			if state.Phase != coldstart.Warm {
 				state.Owner = g.ownerOf(t.ID)
 				state.Allowance = g.phases.Allowance(now, t.ID)
--- a/internal/server/gate_targets.go
+++ b/internal/server/gate_targets.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"errors"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coldstart"
@@ -9,14 +8,13 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/gate"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/share"
-	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
 var _ gate.TargetGate = (*gates)(nil)
 
 // Eligible implements gate.TargetGate.
 func (g *gates) Eligible(target model.TargetID) (ok bool) {
-	g.do(func(now time.Duration) { ok = g.eligibility.Target(now, target) })
+	g.do(func(time.Duration) { ok = g.eligibility.Target(target) })
 	return ok
 }
 
@@ -31,7 +29,7 @@
 	remaining := time.Until(deadline)
 	sentAt := time.Now()
 	g.do(func(now time.Duration) {
-		if remaining <= 0 || !g.eligibility.Target(now, target) {
+		if remaining <= 0 || !g.eligibility.Target(target) {
 			return
 		}
 		if g.phases.IsWarm(target) {
@@ -122,28 +120,3 @@
 		g.spreadPhase(g.phases.Return(now, statement.Target))
 	}
 }
-
-// OutcomeOf turns the end of an attempt into an outcome.
-func OutcomeOf(err error, latency time.Duration, incarnation model.Incarnation) gate.Outcome {
-	outcome := gate.Outcome{Result: gate.Other, Latency: latency, Incarnation: incarnation}
-	if err == nil {
-		outcome.Result = gate.Success
-		return outcome
-	}
-	for _, known := range []struct {
-		err    error
-		result gate.Result
-	}{
-		{targetclient.ErrNotSent, gate.NotSent},
-		{targetclient.ErrShed, gate.Shed},
-		{targetclient.ErrDraining, gate.Draining},
-		{targetclient.ErrLost, gate.Lost},
-		{targetclient.ErrSilent, gate.Silent},
-		{targetclient.ErrCancelled, gate.Cancelled},
-	} {
-		if errors.Is(err, known.err) {
-			outcome.Result = known.result
-		}
-	}
-	return outcome
-}
--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,6 +43,8 @@
 	ownersOf    uint64
 	addresses   map[model.HostID]string
 	addressesAt time.Duration
+	// waiting counts the requests that wait for a loan.
+	waiting atomic.Int64
 	// hurry tells run to tick early, because a caller was refused and this host may borrow more.
 	hurry chan struct{}
 	outbox
@@ -119,7 +122,7 @@
 	}
 	if table.Generation > g.shares.Generation() {
 		g.shares.SetTable(now, shareTable(table))
-		g.addressesAt = 0
+		g.addresses = nil
 	}
 	if catalogue := g.view.Catalogue(); catalogue != nil && catalogue != g.catalogue {
 		g.setCatalogue(now, catalogue)
@@ -152,7 +155,7 @@
 
 func (g *gates) setCatalogue(now time.Duration, catalogue *model.Catalogue) {
 	g.catalogue = catalogue
-	returned := g.eligibility.SetCatalogue(now, catalogue)
+	returned := g.eligibility.SetCatalogue(catalogue)
 	g.targets = make(map[model.TargetID]model.Target, len(catalogue.Targets))
 	var targets []coldstart.Target
 	for _, t := range catalogue.Targets {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,6 +50,7 @@
 	fleet     fleetState
 	stopper   stopper
 	stopHooks stopHooks
+	gates     *gates
 }
 
 // Ports are the server's connections to the outside. Tests and measurements replace them.
@@ -80,12 +81,13 @@
 		settings:  s,
 		ports:     ports,
 		inventory: reports,
-		engine:    newEngine(logger, s, ports, reports, incarnation, guard),
 		operator:  newOperatorState(incarnation),
 		guard:     guard,
-		admitter:  newAdmitter(nil),
 	}
 	server.joinFleet(incarnation)
+	server.joinGates(incarnation)
+	server.engine = server.newEngine(incarnation)
+	server.admitter = newAdmitter(server.callerLimits())
 	server.joinExecute(incarnation)
 	return server
 }
@@ -123,6 +125,7 @@
 	defer cancel()
 	var duties conc.WaitGroup
 	s.startFleet(ctx, &duties, peers)
+	s.startGates(ctx, &duties)
 	duties.Go(func() { s.pollStatuses(ctx) })
 	duties.Go(func() { s.admitter.run(ctx) })
 	duties.Go(func() { s.followService(ctx, s.executor, s.fleet.control) })
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -30,10 +30,12 @@
 		pollers.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 			defer cancel()
+			asked := time.Now()
 			status, err := s.ports.Targets.Status(ctx, target)
 			if err == nil {
 				s.inventory.Put(status)
 				s.guard.seen(status)
+				s.observeStatus(status, asked)
 			}
 		})
 	}
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -5,6 +5,12 @@
 const (
 	demandSlot  = 100 * time.Millisecond
 	demandSlots = 10
+	// permitSlots is the number of slots for which a host keeps a permit of a cold target that it does not use. Permits
+	// are few, and other hosts wait for them.
+	permitSlots = 2
+	// leastPart is the least part of a grant that a host with any demand asks for. A borrowed rate starts without
+	// tokens, so the first requests of a caller would wait long for a loan that is only as large as their rate.
+	leastPart = 0.04
 	// headroom is asked for on top of the demand, so that growing demand is not refused between two requests.
 	headroom = 1.25
 )
@@ -59,12 +65,12 @@
 	return max(average, recent) * headroom
 }
 
-// units returns the highest number of units needed in any slot.
-func (d *demand) units(now time.Duration) float64 {
+// units returns the highest number of units needed in any of the newest slots.
+func (d *demand) units(now time.Duration, newest int64) float64 {
 	d.advance(now)
 	var highest float64
-	for _, units := range d.slots {
-		highest = max(highest, units)
+	for slot := max(0, d.slot-newest+1); slot <= d.slot; slot++ {
+		highest = max(highest, d.slots[slot%demandSlots])
 	}
 	return highest
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -77,8 +77,13 @@
 	debts    map[model.HostID]*debt
 	// usedAt is the time of the last request or message about the key.
 	usedAt time.Duration
-	term   time.Duration
-	termAt time.Duration
+	// busySince is the time of the first use after a pause.
+	busySince time.Duration
+	// refused counts the units refused in a slot of demand.
+	refused     int
+	refusedSlot int64
+	term        time.Duration
+	termAt      time.Duration
 }
 
 // New returns a host without table and grants. It owns nothing until it has held a table for the takeover wait.
@@ -210,11 +215,25 @@
 	e := s.entries[key]
 	if e != nil {
 		s.advance(e, now)
-		e.usedAt = now
+		e.use(now)
 	}
 	return e
 }
 
+func (e *entry) use(now time.Duration) {
+	if now-e.usedAt > demandSlots*demandSlot {
+		e.busySince = now
+	}
+	e.usedAt = now
+}
+
+// IsNewDemand tells whether a key is in use for less than a time. Until then a refusal may only mean that this host has
+// not borrowed yet.
+func (s *State) IsNewDemand(now time.Duration, key Key, within time.Duration) bool {
+	e := s.entries[key]
+	return e != nil && now-e.busySince < within
+}
+
 // Tick ends loans and returns the requests and returns that are due. It is called about every 50 ms.
 func (s *State) Tick(now time.Duration) []Send {
 	s.forgetTables(now)
@@ -266,8 +285,8 @@
 		return Unit{}, false
 	}
 	s.advance(e, now)
-	e.usedAt = now
-	e.demand.peak(now, e.inUse()+1)
+	e.use(now)
+	e.demand.peak(now, e.inUse()+1+e.refusedIn(now))
 	e.noteTerm(now, deadline-now+renewInterval+250*time.Millisecond)
 	if !s.fenced && float64(e.ownInUse)+1 <= s.effective(e, now)-e.lent() {
 		e.ownInUse++
@@ -281,9 +300,19 @@
 			return Unit{key, owner}, true
 		}
 	}
+	e.refused++
 	return Unit{}, false
 }
 
+// refusedIn returns the number of units refused in the present slot. Each of them is one more unit that is needed.
+func (e *entry) refusedIn(now time.Duration) float64 {
+	if slot := int64(now / demandSlot); slot != e.refusedSlot {
+		e.refusedSlot = slot
+		e.refused = 0
+	}
+	return float64(e.refused)
+}
+
 // Release gives a unit back.
 func (s *State) Release(now time.Duration, unit Unit) {
 	e := s.entries[unit.key]
@@ -332,10 +361,21 @@
 
 // wanted returns the rate or the number of units that the host's recent demand needs.
 func (e *entry) wanted(now time.Duration) float64 {
-	if e.key.Kind.isUnits() {
-		return max(e.demand.units(now), e.inUse())
+	switch e.key.Kind {
+	case InFlight:
+		return math.Ceil(e.atLeast(headroom * max(e.demand.units(now, demandSlots), e.inUse())))
+	case Cold:
+		return max(e.demand.units(now, permitSlots), e.inUse())
+	}
+	return e.atLeast(e.demand.perSecond(now))
+}
+
+// atLeast raises a demand that is not zero to the least part of the grant that is worth a loan.
+func (e *entry) atLeast(wanted float64) float64 {
+	if wanted <= 0 {
+		return 0
 	}
-	return e.demand.perSecond(now)
+	return max(wanted, leastPart*e.grant)
 }
 
 // noteTerm keeps the longest term that was needed in the last ten seconds or so.
