--- a/internal/dev/restart.go
+++ b/internal/dev/restart.go
@@ -16,18 +16,28 @@
 // restart stops a host as planned under load and starts it again. No search may be cut.
 func (c *checker) restart(ctx context.Context) (string, error) {
 	host := c.env.Hosts[0]
+	op, err := c.execute(ctx, host, c.env.Catalogue.Services[0].ID)
+	if err != nil {
+		return "", err
+	}
 	load := c.env.startLoad(ctx, c.traffic)
 	stopped, back, err := c.stopAndStart(ctx, host)
 	outcomes := load.finish()
 	if err != nil {
 		return "", err
 	}
-	answered, err := c.checkLoad(outcomes)
+	answers, err := c.checkLoad(outcomes)
 	if err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%s stopped in %d ms and was ready again %d ms after its start; %d of %d searches meanwhile answered in full, none wrong or cut",
-		host.Settings.HostID, stopped.Milliseconds(), back.Milliseconds(), answered, len(outcomes)), nil
+	if err := c.repeat(ctx, c.env.Hosts[1], op); err != nil {
+		return "", fmt.Errorf("an operation from before the stop: %w", err)
+	}
+	if err := c.checkOnce([]operation{op}); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s stopped in %d ms and was ready again %d ms after its start, its ledger was kept; %s",
+		host.Settings.HostID, stopped.Milliseconds(), back.Milliseconds(), answers), nil
 }
 
 func (c *checker) stopAndStart(ctx context.Context, host *Host) (stopped, back time.Duration, err error) {
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -90,7 +90,7 @@
 		Tokens:  tokens,
 		Metrics: s.operator.metrics,
 		Dumps:   s.operator.dumps,
-		Ready:   s.Ready,
+		Ready:   s.readyForBalancer,
 		Routes:  []operatorapi.Routes{s.commands(), s.queries()},
 	})
 	return operatorListener{server: api.Server(), listener: listener}, nil
@@ -106,7 +106,12 @@
 }
 
 func (s *Server) commands() operatorapi.Routes {
-	return command.New(s.logger, command.Config{Acceptor: s.fleet.control, Catalogues: s, Statuses: s.inventory})
+	return command.New(s.logger, command.Config{
+		Acceptor:   s.fleet.control,
+		Catalogues: s,
+		Statuses:   s.inventory,
+		Members:    s.fleet.control.Members,
+	})
 }
 
 func (s *Server) queries() operatorapi.Routes {
@@ -128,6 +133,7 @@
 		DataCentre: s.settings.DataCentre,
 		Generation: generation,
 		InForceMS:  age.Milliseconds(),
+		Fenced:     s.fleet.control != nil && s.fleet.control.Fenced(),
 	}
 }
 
@@ -150,6 +156,7 @@
 	dumps.Add("settings", func() any { return s.settings })
 	dumps.Add("configuration", func() any { return s.configurationStatus() })
 	dumps.Add("catalogue", func() any { return s.Catalogue() })
+	dumps.Add("query", func() any { return s.engine.State() })
 	dumps.Add("inventory", func() any { return s.inventory.All() })
 }
 
@@ -160,7 +167,7 @@
 		return float64(generation)
 	})
 	set.NewGauge("knapweedrouter_ready", func() float64 {
-		if s.Ready() != nil {
+		if s.readyForBalancer() != nil {
 			return 0
 		}
 		return 1
