--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,11 +84,11 @@
 		operator:  newOperatorState(incarnation),
 		guard:     guard,
 	}
-	server.admitter.capacity = server.capacity
 	server.joinFleet(incarnation)
 	server.joinGates(incarnation)
 	server.engine = server.newEngine(incarnation)
 	server.admitter = newAdmitter(server.callerLimits())
+	server.admitter.capacity = server.capacity
 	server.joinExecute(incarnation)
 	return server
 }
