Take the targets' reports as their phase until another host knows more

Cause: a host that starts took every target for cold unless a peer knew better.

Ruled out: passing permits around faster; they would still hold a started fleet to a tenth of its capacity for many seconds. A report can be wrong, but then shed replies, resets and slow replies make the target cold as at any other time.

Change: in a host's first catalogue a target that reports ready is warm with epoch 0, which gives way to any statement of another host about the same incarnation. A target that operators add later is cold whatever it reports.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -70,7 +70,9 @@
 
 // record is what a host knows about a target.
 type record struct {
-	target   Target
+	target Target
+	// added tells that operators have added the target while this host was running. It is cold whatever it reports.
+	added    bool
 	known    Statement
 	knownAt  time.Duration
 	evidence evidence
@@ -85,23 +87,28 @@
 // State is the state machine of one host.
 type State struct {
 	targets map[model.TargetID]*record
+	// hasTargets tells that the first catalogue is known.
+	hasTargets bool
 }
 
 // New returns a state without targets.
 func New() *State { return &State{targets: map[model.TargetID]*record{}} }
 
-// SetTargets replaces the targets of the catalogue. A target that is new is cold.
+// SetTargets replaces the targets of the catalogue. A target that is new is cold, except that those of the first catalogue
+// are taken for what they report until another host knows more: when all hosts start at once, nobody can know, and to
+// take every target for cold would stop the service.
 func (s *State) SetTargets(now time.Duration, targets []Target) {
 	kept := make(map[model.TargetID]*record, len(targets))
 	for _, t := range targets {
 		r := s.targets[t.ID]
 		if r == nil {
-			r = &record{knownAt: now, known: Statement{Target: t.ID}}
+			r = &record{knownAt: now, known: Statement{Target: t.ID}, added: s.hasTargets}
 		}
 		r.target = t
 		kept[t.ID] = r
 	}
 	s.targets = kept
+	s.hasTargets = true
 }
 
 // Apply takes a statement of another host and tells whether it was new.
@@ -146,6 +153,11 @@
 	if r == nil || observation.Incarnation != 0 && observation.Incarnation < r.known.Incarnation {
 		return Statement{}, false
 	}
+	if observation.Kind == SaysReady && r.known.Incarnation == 0 && !r.added {
+		// Epoch 0 gives way to whatever another host has seen of this incarnation.
+		r.set(now, Statement{Target: observation.Target, Incarnation: observation.Incarnation, Warm: true})
+		return Statement{}, false
+	}
 	if observation.Incarnation > r.known.Incarnation {
 		r.set(now, Statement{Target: observation.Target, Incarnation: observation.Incarnation, Epoch: 1})
 		return r.known, true
--- a/internal/coldstart/evidence.go
+++ b/internal/coldstart/evidence.go
@@ -32,6 +32,8 @@
 	Reset ObservationKind = "reset"
 	// SaysCold is a status report that says so.
 	SaysCold ObservationKind = "says_cold"
+	// SaysReady is a status report that says that the target is neither cold nor leaving.
+	SaysReady ObservationKind = "says_ready"
 	// Seen only names the incarnation.
 	Seen ObservationKind = "seen"
 )
--- a/internal/coldstart/phase_test.go
+++ b/internal/coldstart/phase_test.go
@@ -122,3 +122,21 @@
 	require.Equal(t, 2, state.Allowance(SettleTime, "t1"))
 	require.Equal(t, Warming, state.Phase("t1"))
 }
+
+// TestStartTakesReportsUntilOthersKnowMore guards against a start of all hosts that takes every target for cold, against
+// a report that overrules what another host has seen, and against a target that operators add and that gets full load.
+func TestStartTakesReportsUntilOthersKnowMore(t *testing.T) {
+	state := New()
+	added := Target{ID: "added", Slots: 4, ColdSlots: 1}
+	state.SetTargets(0, []Target{coldTarget})
+	ready := func(t Target) Observation { return Observation{Target: t.ID, Incarnation: 1, Kind: SaysReady} }
+	state.Observe(0, ready(coldTarget))
+	require.True(t, state.IsWarm(coldTarget.ID))
+	require.True(t, state.Apply(0, Statement{Target: coldTarget.ID, Incarnation: 1, Epoch: 1}))
+	state.Observe(0, ready(coldTarget))
+	require.False(t, state.IsWarm(coldTarget.ID))
+
+	state.SetTargets(0, []Target{coldTarget, added})
+	state.Observe(0, ready(added))
+	require.False(t, state.IsWarm(added.ID))
+}
--- a/internal/server/gate_targets.go
+++ b/internal/server/gate_targets.go
@@ -94,8 +94,11 @@
 			AskedAt:     askedAt.Sub(g.started),
 		})
 		kind := coldstart.Seen
-		if status.State == model.TargetCold {
+		switch status.State {
+		case model.TargetCold:
 			kind = coldstart.SaysCold
+		case model.TargetReady:
+			kind = coldstart.SaysReady
 		}
 		g.spreadPhase(g.phases.Observe(now, coldstart.Observation{
 			Target: status.Target, Incarnation: status.Incarnation, Kind: kind,
