Send some first attempts to targets that are not warm, within the term of a permit

Replica choice avoided targets that are not warm, so they never warmed up beside warm replicas; and attempts with a deadline of 2 s got no permit, because a permit ends after 1.5 s.

Ruled out: no avoidance at all. A cold target answers about four times slower, and every free permit would be used.

Change: one of eight first attempts at a group prefers a target that is not warm; if it has no free permit, another replica gets the attempt. Attempts at such a target end within gate.MaxColdDeadline.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -48,7 +48,7 @@
 	number  int
 	target  *targetState
 	request targetclient.SearchRequest
-	release gate.Release
+	place   place
 	start   AttemptStart
 	started time.Duration
 	// recorded is the attempt's position in the record of the query.
@@ -60,12 +60,13 @@
 func (q *run) newAttempt(action scatter.Action) *attempt {
 	t := q.picker.view.targets[action.Attempt.Target]
 	id := model.AttemptID{Incarnation: q.engine.identity, Sequence: q.engine.sequence.Add(1)}
+	place := q.picker.takePlace()
 	a := q.room()
 	*a = attempt{
 		query:   q,
 		number:  action.Attempt.ID,
 		target:  t,
-		release: q.picker.takeRelease(),
+		place:   place,
 		started: action.Attempt.Sent,
 		ended:   make(chan struct{}),
 		request: targetclient.SearchRequest{
@@ -75,7 +76,7 @@
 			Version:    action.What.Version,
 			Query:      q.request.Query,
 			Limit:      q.request.Limit,
-			DeadlineMS: max(1, time.Until(q.deadline).Milliseconds()),
+			DeadlineMS: max(1, time.Until(place.deadline).Milliseconds()),
 		},
 		start: AttemptStart{Attempt: id, Target: t.ID, Caller: q.request.Caller, Fingerprint: q.fingerprint},
 	}
@@ -102,7 +103,12 @@
 		a.start.Incarnation = a.target.lastIncarnation()
 		observer.AttemptStarted(a.start)
 	}
-	reply, err := q.engine.cfg.Client.Search(q.attempts, a.target.Target, a.request)
+	ctx, cancel := q.attempts, func() {}
+	if a.place.deadline.Before(q.deadline) {
+		ctx, cancel = context.WithDeadline(ctx, a.place.deadline)
+	}
+	defer cancel()
+	reply, err := q.engine.cfg.Client.Search(ctx, a.target.Target, a.request)
 	var failure scatter.Failure
 	if err != nil {
 		failure = scatter.Classify(err)
@@ -147,8 +153,8 @@
 	if failure == scatter.FailedVersionGone {
 		a.query.engine.refresh(t)
 	}
-	if a.release != nil {
-		a.release(gate.Outcome{Result: gateResult(failure), Latency: latency, Incarnation: incarnation})
+	if a.place.release != nil {
+		a.place.release(gate.Outcome{Result: gateResult(failure), Latency: latency, Incarnation: incarnation})
 	}
 }
 
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -218,12 +218,14 @@
 type countingGate struct {
 	mu      sync.Mutex
 	refused model.TargetID
+	// cold is the target that is not warm.
+	cold    model.TargetID
 	taken   map[model.TargetID]int
 	results map[gate.Result]int
 }
 
 func (g *countingGate) Eligible(model.TargetID) bool { return true }
-func (g *countingGate) Warm(model.TargetID) bool     { return true }
+func (g *countingGate) Warm(id model.TargetID) bool  { return id != g.cold }
 
 func (g *countingGate) Acquire(id model.TargetID, _ time.Time) (gate.Release, bool) {
 	g.mu.Lock()
@@ -330,3 +332,18 @@
 		require.Equal(t, len(w.catalogue.Indexes[0].Groups[0].Targets), after)
 	})
 }
+
+// TestReturnedTargetGetsWork guards against a target that stays cold for ever because its replicas are warm, and against
+// more than a small part of the attempts going to it.
+func TestReturnedTargetGetsWork(t *testing.T) {
+	g := &countingGate{cold: "a-0-0", taken: map[model.TargetID]int{}, results: map[gate.Result]int{}}
+	inWorld(t, func(c *Config) { c.Gate = g }, func(w *world) {
+		for range 400 {
+			w.search(t, request())
+		}
+		w.engine.Wait()
+		work := len(w.targets["a-0-0"].Records())
+		require.Greater(t, work, 400/coldChoices/2)
+		require.Less(t, work, 2*400/coldChoices)
+	})
+}
--- a/internal/query/picker.go
+++ b/internal/query/picker.go
@@ -44,8 +44,8 @@
 	deadline time.Time
 	rng      *rand.Rand
 	record   record
-	// releases are those of the targets picked whose attempts have not been sent yet, in order.
-	releases []gate.Release
+	// places are those at the targets picked whose attempts have not been sent yet, in order.
+	places []place
 
 	// now is the time of the last pick.
 	now        time.Duration
@@ -90,6 +90,7 @@
 		p.record.refuse(part, "", kind, refusedQueue)
 		return
 	}
+	var cold []int
 	for _, id := range part.Replicas {
 		t := p.view.targets[id]
 		if t == nil || slices.Contains(exclude, id) {
@@ -102,10 +103,25 @@
 		}
 		if g := p.engine.cfg.Gate; g != nil && !g.Warm(id) {
 			candidate.Avoid = true
+			cold = append(cold, len(p.candidates))
 		}
 		p.targets = append(p.targets, t)
 		p.candidates = append(p.candidates, candidate)
 	}
+	if len(cold) > 0 && kind == scatter.First && p.rng.IntN(coldChoices) == 0 {
+		p.prefer(cold)
+	}
+}
+
+// coldChoices is the number of first attempts at a group of which one goes to a target that is not warm, if it has a free
+// permit. Without any, a target that has returned would stay cold for as long as its replicas are warm.
+const coldChoices = 8
+
+// prefer makes the candidates at the positions the first choice.
+func (p *picker) prefer(positions []int) {
+	for i := range p.candidates {
+		p.candidates[i].Avoid = !slices.Contains(positions, i)
+	}
 }
 
 // crowded tells whether queues form at most replicas of a part: then the whole group is short of capacity. One replica
@@ -156,10 +172,14 @@
 	}
 	g := p.engine.cfg.Gate
 	if g == nil {
-		p.releases = append(p.releases, nil)
+		p.places = append(p.places, place{deadline: p.deadline})
 		return true
 	}
-	release, ok := g.Acquire(t.ID, p.deadline)
+	deadline := p.deadline
+	if !g.Warm(t.ID) {
+		deadline = earlier(deadline, time.Now().Add(gate.MaxColdDeadline))
+	}
+	release, ok := g.Acquire(t.ID, deadline)
 	if !ok {
 		t.mu.Lock()
 		t.evidence.Forget(now)
@@ -167,18 +187,33 @@
 		p.record.refuse(part, t.ID, kind, refusedGate)
 		return false
 	}
-	p.releases = append(p.releases, release)
+	p.places = append(p.places, place{release: release, deadline: deadline})
 	return true
 }
 
-// takeRelease returns the release of the next attempt to be sent. The machine sends in the order in which it picks.
-func (p *picker) takeRelease() gate.Release {
-	release := p.releases[0]
-	p.releases = p.releases[1:]
-	if len(p.releases) == 0 {
-		p.releases = nil
+// place is a place at a target for one attempt.
+type place struct {
+	// release gives the place back; nil if there is no gate.
+	release gate.Release
+	// deadline is the end of the attempt. A permit for a target that is not warm may end before the query does.
+	deadline time.Time
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// takePlace returns the place of the next attempt to be sent. The machine sends in the order in which it picks.
+func (p *picker) takePlace() place {
+	next := p.places[0]
+	p.places = p.places[1:]
+	if len(p.places) == 0 {
+		p.places = nil
 	}
-	return release
+	return next
 }
 
 // spend takes the right to one extra attempt from the group, the caller and the caller's cost limit.
