--- a/internal/bench/link.go
+++ b/internal/bench/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/target"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
@@ -47,7 +48,7 @@
 
 // Cancel implements targetclient.TargetClient.
 func (l *link) Cancel(ctx context.Context, t model.Target, attempt model.AttemptID) error {
-	if err := sleep(ctx, l.delay(t)); err != nil {
+	if err := ctxtime.Sleep(ctx, l.delay(t)); err != nil {
 		return err
 	}
 	l.world.targets[t.ID].Cancel(attempt)
@@ -56,7 +57,7 @@
 
 // Status implements targetclient.TargetClient.
 func (l *link) Status(ctx context.Context, t model.Target) (model.TargetStatus, error) {
-	if err := sleep(ctx, 2*l.delay(t)); err != nil {
+	if err := ctxtime.Sleep(ctx, 2*l.delay(t)); err != nil {
 		return model.TargetStatus{}, err
 	}
 	if !l.world.targets[t.ID].Available() {
@@ -79,7 +80,7 @@
 	if err := l.take(ctx, t); err != nil {
 		return none, targetclient.ErrNotSent
 	}
-	if err := sleep(ctx, l.delay(t)); err != nil {
+	if err := ctxtime.Sleep(ctx, l.delay(t)); err != nil {
 		l.put(t, false)
 		return none, targetclient.ErrLost
 	}
@@ -123,7 +124,7 @@
 	if p.open < p.limit {
 		p.open++
 		l.mu.Unlock()
-		if err := sleep(ctx, milliseconds(t.ConnectTimeMS)); err != nil {
+		if err := ctxtime.Sleep(ctx, milliseconds(t.ConnectTimeMS)); err != nil {
 			l.put(t, false)
 			return err
 		}
@@ -153,17 +154,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -81,7 +82,7 @@
 	second := searches[min(1, len(searches)-1)]
 	for since := time.Duration(0); since < g.scenario.Duration; since = time.Since(g.world.start) {
 		rate := capacity[searches[0].ID] * g.scenario.Load(since)
-		_ = sleep(ctx, time.Duration(g.rng.ExpFloat64()/rate*float64(time.Second)))
+		_ = ctxtime.Sleep(ctx, time.Duration(g.rng.ExpFloat64()/rate*float64(time.Second)))
 		caller := callerFast
 		if g.rng.Float64() < fullShare {
 			caller = callerFull
@@ -98,20 +99,20 @@
 }
 
 func (g *generator) sendCareless(ctx context.Context) {
-	_ = sleep(ctx, faultStart)
+	_ = ctxtime.Sleep(ctx, faultStart)
 	first := g.world.catalogue.Searches[0].ID
 	rate := g.world.capacity(g.world.catalogue)[first] * carelessGrant * carelessFactor
 	rng := rand.New(rand.NewPCG(uint64(g.number), 4))
 	for time.Since(g.world.start) < g.scenario.Duration {
-		_ = sleep(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second)))
+		_ = ctxtime.Sleep(ctx, time.Duration(rng.ExpFloat64()/rate*float64(time.Second)))
 		g.sendSearch(ctx, callerCareless, first, "")
 	}
 }
 
 func (g *generator) sendPoison(ctx context.Context) {
-	_ = sleep(ctx, faultStart)
+	_ = ctxtime.Sleep(ctx, faultStart)
 	for time.Since(g.world.start) < g.scenario.Duration {
-		_ = sleep(ctx, poisonInterval)
+		_ = ctxtime.Sleep(ctx, poisonInterval)
 		g.sendSearch(ctx, callerPoison, g.world.catalogue.Searches[0].ID, poisonText)
 	}
 }
--- a/internal/bench/naive.go
+++ b/internal/bench/naive.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/merge"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -70,7 +71,7 @@
 func repeat(ctx context.Context, interval time.Duration, work func(context.Context)) {
 	for ctx.Err() == nil {
 		work(ctx)
-		_ = sleep(ctx, interval) // the loop ends with the context
+		_ = ctxtime.Sleep(ctx, interval) // the loop ends with the context
 	}
 }
 
--- a/internal/bench/router.go
+++ b/internal/bench/router.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/server"
@@ -23,7 +24,10 @@
 const (
 	startTimeout = 10 * time.Second
 	readyPoll    = 100 * time.Millisecond
-	clientPlace  = "client"
+	// settleTime is enough for a fleet that has just started to agree on the fleet table. The scenarios measure what
+	// comes after a start.
+	settleTime  = 5 * time.Second
+	clientPlace = "client"
 )
 
 // router is the daemon code of several hosts.
@@ -66,10 +70,10 @@
 			if time.Now().After(limit) {
 				return fmt.Errorf("host %s is not ready after %s", r.world.hosts[i].id, startTimeout)
 			}
-			_ = sleep(ctx, readyPoll)
+			_ = ctxtime.Sleep(ctx, readyPoll)
 		}
 	}
-	return sleep(ctx, time.Second) // the first reports of the targets
+	return ctxtime.Sleep(ctx, settleTime)
 }
 
 func (r *router) ready(host int) bool {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/deployment"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
@@ -52,7 +53,7 @@
 
 func applyFaults(ctx context.Context, w *world, faults []Fault) {
 	for _, f := range faults {
-		if sleep(ctx, f.At-time.Since(w.start)) != nil {
+		if ctxtime.Sleep(ctx, f.At-time.Since(w.start)) != nil {
 			return
 		}
 		f.Apply(w)
@@ -71,7 +72,7 @@
 			}
 			last[i] = now
 		}
-		_ = sleep(ctx, generationPoll) // the loop ends with the context
+		_ = ctxtime.Sleep(ctx, generationPoll) // the loop ends with the context
 	}
 	return reverted
 }
--- a/internal/control/accept.go
+++ b/internal/control/accept.go
@@ -7,6 +7,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/change"
 	"github.com/knapweedrouter/knapweedrouter/internal/configstate"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
@@ -43,7 +44,7 @@
 		if done {
 			return generation, err
 		}
-		if waitErr := sleep(ctx, acceptRetryWait); waitErr != nil {
+		if waitErr := ctxtime.Sleep(ctx, acceptRetryWait); waitErr != nil {
 			return 0, a.unavailable(waitErr)
 		}
 	}
@@ -240,14 +241,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/control/ports.go
+++ b/internal/control/ports.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/configstate"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
@@ -100,7 +101,7 @@
 func (l *Loop) followHostList(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.readHostList(ctx)
-		_ = sleep(ctx, hostListInterval/2+rand.N(hostListInterval)) // the loop ends with the context
+		_ = ctxtime.Sleep(ctx, hostListInterval/2+rand.N(hostListInterval)) // the loop ends with the context
 	}
 }
 
--- /dev/null
+++ b/internal/ctxtime/ctxtime_test.go
@@ -0,0 +1,25 @@
+package ctxtime
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSleepEndsWithTheContext guards against a wait that outlives its owner, and against one that succeeds for a context
+// that has ended.
+func TestSleepEndsWithTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		require.NoError(t, Sleep(t.Context(), time.Second))
+		require.Equal(t, time.Second, time.Since(start))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.ErrorIs(t, Sleep(ctx, time.Hour), context.DeadlineExceeded)
+		require.Equal(t, 2*time.Second, time.Since(start))
+		require.Error(t, Sleep(ctx, 0))
+	})
+}
--- a/internal/dev/check.go
+++ b/internal/dev/check.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorclient"
@@ -81,7 +82,7 @@
 	for _, host := range c.env.Hosts {
 		for _, search := range c.env.Catalogue.Searches {
 			for !c.isWhole(ctx, host, search.ID) {
-				if pause(ctx, readyInterval) != nil {
+				if ctxtime.Sleep(ctx, readyInterval) != nil {
 					return "", fmt.Errorf("%s does not answer search %s with full coverage", host.Settings.HostID, search.ID)
 				}
 			}
@@ -196,7 +197,7 @@
 				markers = append(markers, o.marker)
 				break
 			}
-			if pause(ctx, readyInterval) != nil {
+			if ctxtime.Sleep(ctx, readyInterval) != nil {
 				return 0, fmt.Errorf("%s does not know the change after %s: %s", host.Settings.HostID, spreadLimit, o.reason())
 			}
 		}
--- a/internal/dev/datacentre.go
+++ b/internal/dev/datacentre.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/change"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -36,7 +37,7 @@
 	if err != nil {
 		return "", fmt.Errorf("data centre out: %w", err)
 	}
-	if err := pause(ctx, outPeriod); err != nil {
+	if err := ctxtime.Sleep(ctx, outPeriod); err != nil {
 		return "", err
 	}
 	end := time.Now()
@@ -97,7 +98,7 @@
 func (c *checker) awaitWork(ctx context.Context, centre model.DataCentreID, since time.Time) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, returnLimit)
 	defer cancel()
-	for pause(ctx, readyInterval) == nil {
+	for ctxtime.Sleep(ctx, readyInterval) == nil {
 		for _, attempt := range newJudge(c.env).workIn(centre, since, time.Now()) {
 			if attempt.Ran {
 				return attempt.Start.Sub(since), nil
--- a/internal/dev/outage.go
+++ b/internal/dev/outage.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorclient"
 	"github.com/knapweedrouter/knapweedrouter/internal/standin/platform"
@@ -47,7 +48,7 @@
 	if err == nil {
 		return "", errors.New("a change was reported as accepted while the store was down")
 	}
-	if err := pause(ctx, outagePeriod); err != nil {
+	if err := ctxtime.Sleep(ctx, outagePeriod); err != nil {
 		return "", err
 	}
 	if c.headWrites() != writes {
--- a/internal/dev/race.go
+++ b/internal/dev/race.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
@@ -53,7 +54,7 @@
 		if err == nil && status.Generation >= generation && status.InForce == len(c.env.Hosts) {
 			return nil
 		}
-		if pause(ctx, readyInterval) != nil {
+		if ctxtime.Sleep(ctx, readyInterval) != nil {
 			return fmt.Errorf("generation %d is in force on %d of %d hosts after %s", generation, status.InForce, len(c.env.Hosts), spreadLimit)
 		}
 	}
--- a/internal/dev/restart.go
+++ b/internal/dev/restart.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 )
 
 const (
@@ -41,7 +43,7 @@
 }
 
 func (c *checker) stopAndStart(ctx context.Context, host *Host) (stopped, back time.Duration, err error) {
-	if err := pause(ctx, steadyPeriod); err != nil {
+	if err := ctxtime.Sleep(ctx, steadyPeriod); err != nil {
 		return 0, 0, err
 	}
 	began := time.Now()
@@ -63,5 +65,5 @@
 		return 0, 0, err
 	}
 	back = time.Since(began)
-	return stopped, back, pause(ctx, steadyPeriod)
+	return stopped, back, ctxtime.Sleep(ctx, steadyPeriod)
 }
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
@@ -140,7 +141,7 @@
 func (t *traffic) awaitReady(ctx context.Context, hosts []*Host) error {
 	for _, host := range hosts {
 		for !t.isReady(ctx, host) {
-			if err := pause(ctx, readyInterval); err != nil {
+			if err := ctxtime.Sleep(ctx, readyInterval); err != nil {
 				return fmt.Errorf("%s is not ready", host.Settings.HostID)
 			}
 		}
@@ -148,17 +149,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 const (
 	loadInterval = 10 * time.Millisecond
 	// loadInFlight bounds the searches in progress. A search that finds no place is not sent.
@@ -185,7 +175,7 @@
 
 // followReady keeps the list of hosts that the balancer would use.
 func (l *load) followReady(ctx context.Context, t *traffic, hosts []*Host) {
-	for pause(ctx, readyInterval) == nil {
+	for ctxtime.Sleep(ctx, readyInterval) == nil {
 		var ready []*Host
 		for _, host := range hosts {
 			if t.isReady(ctx, host) {
@@ -201,7 +191,7 @@
 func (l *load) send(ctx context.Context, t *traffic, e *Environment) {
 	places := make(chan struct{}, loadInFlight) // full: the search is not sent
 	searches := e.Catalogue.Searches
-	for i := 0; pause(ctx, loadInterval) == nil; i++ {
+	for i := 0; ctxtime.Sleep(ctx, loadInterval) == nil; i++ {
 		hosts := l.readyHosts()
 		if len(hosts) == 0 {
 			continue
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -94,7 +95,7 @@
 		// Jitter keeps the hosts that lost the same peer from connecting to it at the same moment.
 		if l.connectAndServe(ctx, first) {
 			backoff = cfg.MinBackoff
-			sleep(ctx, backoff/2+rand.N(backoff))
+			ctxtime.Sleep(ctx, backoff/2+rand.N(backoff))
 			continue
 		}
 		l.refuseFor(ctx, backoff/2+rand.N(backoff))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -161,7 +162,7 @@
 		}
 		if err != nil {
 			t.logger.Warn("peer listener", zap.Error(err))
-			sleep(ctx, t.cfg.MinBackoff)
+			ctxtime.Sleep(ctx, t.cfg.MinBackoff)
 			continue
 		}
 		t.duties.Go(func() { newInbound(t, connection).run(t.ctx) })
@@ -250,12 +251,3 @@
 	}
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -43,7 +43,7 @@
 	Catalogue model.Catalogue
 	Hosts     []*Host
 
-	t        *testing.T
+	t        testing.TB
 	binary   string
 	dir      string
 	platform string
@@ -100,7 +100,7 @@
 
 // Start starts the stand-ins and the hosts of a deployment and waits until every host answers with full coverage. The
 // processes end with the test.
-func Start(t *testing.T, d deployment.Deployment) *Cluster {
+func Start(t testing.TB, d deployment.Deployment) *Cluster {
 	t.Helper()
 	path, err := build()
 	require.NoError(t, err)
@@ -369,7 +369,7 @@
 	require.Equal(c.t, http.StatusOK, response.StatusCode)
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
@@ -377,7 +377,7 @@
 }
 
 // freePorts returns the first of count free ports in a row.
-func freePorts(t *testing.T, count int) int {
+func freePorts(t testing.TB, count int) int {
 	for first := 21000 + os.Getpid()%4000; first < 32000; first += count {
 		if arePortsFree(first, count) {
 			return first
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -14,6 +14,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/control"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
@@ -129,7 +130,7 @@
 // empty one when it returns, until the context ends.
 func (s *Server) followService(ctx context.Context, engine *execute.Engine, view control.View) {
 	wasOut := false
-	for ; ctx.Err() == nil; pause(ctx, servicePoll) {
+	for ; ctx.Err() == nil; ctxtime.Sleep(ctx, servicePoll) {
 		catalogue := view.Catalogue()
 		out := catalogue != nil && isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
 		switch {
--- a/internal/server/gate_messages.go
+++ b/internal/server/gate_messages.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coldstart"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/eligibility"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -105,7 +106,7 @@
 				return
 			}
 		}
-		pause(ctx, evidenceRetry)
+		ctxtime.Sleep(ctx, evidenceRetry)
 	}
 }
 
--- a/internal/server/out.go
+++ b/internal/server/out.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
@@ -15,7 +16,7 @@
 // followOut turns this host not-ready while operators have taken it or its data centre out of service, and ready again
 // afterwards. Work in progress is finished, and after the balancer's wait new work is refused as not run.
 func (s *Server) followOut(ctx context.Context) {
-	for ; ctx.Err() == nil; pause(ctx, outPoll) {
+	for ; ctx.Err() == nil; ctxtime.Sleep(ctx, outPoll) {
 		if catalogue := s.Catalogue(); catalogue != nil {
 			out := isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
 			if s.stopper.setOut(out) {
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -100,7 +101,7 @@
 		}
 		isBusy := run.Verdict == quarantine.Busy
 		if isBusy && time.Now().Before(waitUntil) {
-			pause(ctx, busyPoll)
+			ctxtime.Sleep(ctx, busyPoll)
 			continue
 		}
 		if isBusy || run.Verdict == quarantine.Quarantined {
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
@@ -26,7 +27,7 @@
 			s.pollOnce(ctx, catalogue.Targets)
 			s.operator.polled.Store(true)
 		}
-		pause(ctx, statusPollInterval-time.Since(started))
+		ctxtime.Sleep(ctx, statusPollInterval-time.Since(started))
 	}
 }
 
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 )
 
@@ -160,7 +161,7 @@
 
 // await waits until a condition holds, for a limited time.
 func await(ctx context.Context, limit time.Duration, holds func() bool) bool {
-	for start := time.Now(); !holds(); pause(ctx, stopPoll) {
+	for start := time.Now(); !holds(); ctxtime.Sleep(ctx, stopPoll) {
 		if time.Since(start) >= limit || ctx.Err() != nil {
 			return false
 		}
@@ -180,7 +181,7 @@
 func (s *stopper) plannedStop(ctx context.Context, logger *zap.Logger, hooks stopHooks) {
 	logger.Info("planned stop: not ready")
 	s.set(leaving)
-	pause(ctx, balancerWait)
+	ctxtime.Sleep(ctx, balancerWait)
 	s.set(refusing)
 	logger.Info("planned stop: refusing new work", zap.Int("in_progress", s.inProgress()))
 	if !await(ctx, finishTimeout, func() bool { return s.inProgress() == 0 }) {
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 )
 
 // Network connects the places of one test.
@@ -85,7 +87,7 @@
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "mem", Err: ctx.Err()}
 	}
-	if err := wait(ctx, 2*n.Delay(p.name, l.place)); err != nil {
+	if err := ctxtime.Sleep(ctx, 2*n.Delay(p.name, l.place)); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "mem", Err: err}
 	}
 	near, far := newPair(n, p.name, l.place, address)
@@ -99,20 +101,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 type listener struct {
 	network *Network
 	place   string
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -69,17 +69,3 @@
 	}
 	return slices.Clone(h.changes[0].records), nil
 }
-
-func sleep(ctx context.Context, milliseconds int64) error {
-	if milliseconds <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(time.Duration(milliseconds) * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
@@ -137,7 +139,7 @@
 		s.calls.Refused++
 	}
 	s.mu.Unlock()
-	if err := sleep(ctx, faults.DelayMS); err != nil {
+	if err := ctxtime.Sleep(ctx, time.Duration(faults.DelayMS)*time.Millisecond); err != nil {
 		return store.ErrUnavailable
 	}
 	if faults.Down {
--- a/internal/standin/target/client.go
+++ b/internal/standin/target/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
@@ -86,7 +87,7 @@
 		return model.TargetStatus{}, err
 	}
 	status := t.Status()
-	return status, pause(ctx, c.delay(at))
+	return status, ctxtime.Sleep(ctx, c.delay(at))
 }
 
 // reach spends the delay to the target.
@@ -95,7 +96,7 @@
 	if t == nil || !t.Available() {
 		return nil, targetclient.ErrNotSent
 	}
-	return t, pause(ctx, c.delay(at))
+	return t, ctxtime.Sleep(ctx, c.delay(at))
 }
 
 // attempt runs an attempt at a target and returns the fault that its reply has to show.
@@ -126,19 +127,8 @@
 	case fault == FaultReset:
 		err = targetclient.ErrLost
 	}
-	if pause(sent, c.delay(at)) != nil {
+	if ctxtime.Sleep(sent, c.delay(at)) != nil {
 		return "", true, targetclient.ErrSilent
 	}
 	return fault, time.Now().After(deadline), err
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
