Send nothing to a target that refuses connections until it has reported again

Ruled out: telling the other hosts, since the fault may be on the way from one host only; and taking slow reports for refusals.

Change: a host whose poll of a target is refused keeps its own work from it until the next report, which names the incarnation.

TestUnreachableTargetReportsBeforeItGetsWork fails without the change (Eligible stays true).

--- a/internal/server/gate_targets.go
+++ b/internal/server/gate_targets.go
@@ -14,7 +14,7 @@
 
 // Eligible implements gate.TargetGate.
 func (g *gates) Eligible(target model.TargetID) (ok bool) {
-	g.do(func(time.Duration) { ok = g.eligibility.Target(target) })
+	g.do(func(time.Duration) { ok = g.isEligible(target) })
 	return ok
 }
 
@@ -29,7 +29,7 @@
 	remaining := time.Until(deadline)
 	sentAt := time.Now()
 	g.do(func(now time.Duration) {
-		if remaining <= 0 || !g.eligibility.Target(target) {
+		if remaining <= 0 || !g.isEligible(target) {
 			return
 		}
 		if g.phases.IsWarm(target) {
@@ -87,6 +87,7 @@
 		if _, known := g.targets[status.Target]; !known {
 			return
 		}
+		delete(g.unreachable, status.Target)
 		g.noteState(now, eligibility.Report{
 			Target:      status.Target,
 			Incarnation: status.Incarnation,
@@ -106,6 +107,22 @@
 	})
 }
 
+// observeUnreachable stops new work of this host to a target that refuses connections, until the target reports again. A
+// target that was restarted then turns cold by its new incarnation before it gets any work. Other hosts are not told,
+// because the fault may be on the way from this host.
+func (g *gates) observeUnreachable(target model.TargetID) {
+	g.do(func(time.Duration) {
+		if _, known := g.targets[target]; known {
+			g.unreachable[target] = true
+		}
+	})
+}
+
+// isEligible runs under the mutex.
+func (g *gates) isEligible(target model.TargetID) bool {
+	return !g.unreachable[target] && g.eligibility.Target(target)
+}
+
 // noteState applies a report about draining and spreads it if it changes what may get work.
 func (g *gates) noteState(now time.Duration, report eligibility.Report) {
 	if report.Incarnation == 0 {
--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,7 @@
 	targets     map[model.TargetID]model.Target
 	callers     map[model.CallerID]model.Caller
 	owners      map[model.TargetID]model.HostID
+	unreachable map[model.TargetID]bool
 	ownersOf    uint64
 	addresses   map[model.HostID]string
 	addressesAt time.Duration
@@ -74,6 +76,7 @@
 		eligibility: eligibility.New(),
 		phases:      coldstart.New(),
 		owners:      map[model.TargetID]model.HostID{},
+		unreachable: map[model.TargetID]bool{},
 		hurry:       make(chan struct{}, 1),
 	}
 	g.register()
@@ -163,6 +166,7 @@
 		targets = append(targets, coldstart.Target{ID: t.ID, Slots: t.Slots, ColdSlots: t.ColdSlots})
 	}
 	g.phases.SetTargets(now, targets)
+	maps.DeleteFunc(g.unreachable, func(id model.TargetID, _ bool) bool { return g.targets[id].ID == "" })
 	for _, id := range returned {
 		g.spreadPhase(g.phases.Return(now, id))
 	}
--- a/internal/server/gates_test.go
+++ b/internal/server/gates_test.go
@@ -255,3 +255,22 @@
 		require.True(t, fault.IsKind(err, fault.CutOff))
 	})
 }
+
+// TestUnreachableTargetReportsBeforeItGetsWork guards against a restarted target that all hosts send to at their former rate
+// before any of them has seen its new incarnation (P3).
+func TestUnreachableTargetReportsBeforeItGetsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(1, gateCatalogue(1))
+		defer f.run()()
+		g := f.hosts[0].gates
+		f.report(model.TargetReady, 1)
+		require.True(t, g.Eligible("t1"))
+		g.observeUnreachable("t1")
+		require.False(t, g.Eligible("t1"))
+		_, ok := g.Acquire("t1", time.Now().Add(time.Second))
+		require.False(t, ok)
+		f.report(model.TargetReady, 2)
+		require.True(t, g.Eligible("t1"))
+		require.False(t, g.Warm("t1"))
+	})
+}
--- a/internal/server/statuses.go
+++ b/internal/server/statuses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -9,6 +10,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
 const statusPollers = 16
@@ -39,10 +41,13 @@
 			defer cancel()
 			asked := time.Now()
 			status, err := s.ports.Targets.Status(ctx, target)
-			if err == nil {
+			switch {
+			case err == nil:
 				s.inventory.Put(status)
 				s.guard.seen(status)
 				s.observeStatus(status, asked)
+			case s.gates != nil && isUnreachable(err):
+				s.gates.observeUnreachable(target.ID)
 			}
 		})
 	}
@@ -50,6 +55,13 @@
 	s.guard.forget(targets)
 }
 
+// isUnreachable tells whether the target refuses connections. A report that only takes long says nothing: the target may be
+// busy.
+func isUnreachable(err error) bool {
+	refused := errors.Is(err, targetclient.ErrNotSent) || errors.Is(err, targetclient.ErrLost)
+	return refused && !errors.Is(err, context.DeadlineExceeded)
+}
+
 // heardFromTargets returns nil once every target was asked for its report. Before that, answers would miss shards.
 func (s *Server) heardFromTargets() error {
 	if !s.operator.polled.Load() {
