Hold the allowance of a target while it says that it is cold

Ruled out: a bound on the time of the hold. A report that is stuck at cold makes a warm target cold again, so the bound would only make it swing.

Change: the permit owner doesn't raise the allowance, nor call the target warm, within 500 ms after a report that says cold.

With the hold off TestReportHoldsTheAllowance says "2" is not less than or equal to "1".

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -82,6 +82,8 @@
 	reported  Progress
 	sentAt    time.Duration
 	ramp      ramp
+	// saidCold is the time of the last report of the target that it is cold.
+	saidCold time.Duration
 }
 
 // State is the state machine of one host.
@@ -163,6 +165,7 @@
 		return r.known, true
 	}
 	if observation.Kind == SaysCold {
+		r.saidCold = now
 		if r.known.Warm {
 			return r.drop(now), true
 		}
--- a/internal/coldstart/phase_test.go
+++ b/internal/coldstart/phase_test.go
@@ -140,3 +140,28 @@
 	state.Observe(0, ready(added))
 	require.False(t, state.IsWarm(added.ID))
 }
+
+// TestReportHoldsTheAllowance guards against a ramp that overtakes a target which still says that it is cold, and against a
+// target that stays cold after its last such report.
+func TestReportHoldsTheAllowance(t *testing.T) {
+	state := New()
+	state.SetTargets(0, []Target{coldTarget})
+	now := time.Second
+	state.Observe(now, Observation{Target: coldTarget.ID, Incarnation: 1, Kind: SaysCold})
+	now += SettleTime // until then the allowance is 0 in any case
+	successes := uint64(0)
+	step := func() {
+		now += 100 * time.Millisecond
+		successes += successesPerDoubling
+		state.Progress(now, "owner", Progress{Target: coldTarget.ID, Incarnation: 1, Epoch: 1, Successes: successes})
+	}
+	for now < 20*time.Second {
+		state.Observe(now, Observation{Target: coldTarget.ID, Incarnation: 1, Kind: SaysCold})
+		step()
+		require.LessOrEqual(t, state.Allowance(now, coldTarget.ID), coldTarget.ColdSlots)
+	}
+	for now < 25*time.Second {
+		step()
+	}
+	require.True(t, state.IsWarm(coldTarget.ID))
+}
--- a/internal/coldstart/ramp.go
+++ b/internal/coldstart/ramp.go
@@ -57,6 +57,9 @@
 		return Statement{}, false
 	}
 	r.ramp.clean += successes
+	if r.saysCold(now) {
+		return Statement{}, false
+	}
 	full := r.target.allowance(r.ramp.level) >= r.target.Slots
 	switch {
 	case full && r.ramp.clean >= successesToWarm:
@@ -68,3 +71,12 @@
 	}
 	return Statement{}, false
 }
+
+// reportAge is the age at which a report that a target is cold no longer counts: two polls.
+const reportAge = 500 * time.Millisecond
+
+// saysCold tells whether the target itself says that it is cold. A report that a target is ready proves nothing, but a
+// target that asks for little load gets little.
+func (r *record) saysCold(now time.Duration) bool {
+	return r.saidCold > 0 && now-r.saidCold < reportAge
+}
