--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -73,7 +73,7 @@
 }
 
 // Guards against a driver that loses what the state machines decide: joining, spreading a change and a notice, the fleet
-// table, service during a store outage, the fence of a cut-off host, and its return.
+// table, and service during a store outage.
 func TestLoopsActTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := startCluster(t, 8)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -110,27 +111,12 @@
 	if err != nil {
 		return err
 	}
-	api := callerapi.New(s.logger, guardedSearcher{s.engine, s.guard}, s, s.operator.metrics, s.operator.recorder)
-	api.SetExecutor(s.executor)
-	api.SetAdmission(s.admitter)
-	httpServer := &http.Server{
-		Handler:           s.stopper.wrap(api.Handler()),
-		ReadTimeout:       readTimeout,
-		ReadHeaderTimeout: readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	httpServer := s.newCallerServer()
 	stopping := ctx.Done()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var duties conc.WaitGroup
-	s.startFleet(ctx, &duties, peers)
-	s.startGates(ctx, &duties)
-	duties.Go(func() { s.pollStatuses(ctx) })
-	duties.Go(func() { s.admitter.run(ctx) })
-	duties.Go(func() { s.followService(ctx, s.executor, s.fleet.control) })
-	duties.Go(func() { s.followOut(ctx) })
-	duties.Go(func() { s.serveOperators(ctx, operators) })
+	s.startDuties(ctx, &duties, peers, operators)
 	duties.Go(func() {
 		select {
 		case <-stopping:
@@ -149,3 +135,28 @@
 	}
 	return eris.Wrap(err, "caller listener")
 }
+
+// newCallerServer returns the HTTP server of the caller listener.
+func (s *Server) newCallerServer() *http.Server {
+	api := callerapi.New(s.logger, guardedSearcher{s.engine, s.guard}, s, s.operator.metrics, s.operator.recorder)
+	api.SetExecutor(s.executor)
+	api.SetAdmission(s.admitter)
+	return &http.Server{
+		Handler:           s.stopper.wrap(api.Handler()),
+		ReadTimeout:       readTimeout,
+		ReadHeaderTimeout: readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// startDuties starts the goroutines of the host. They end with the context.
+func (s *Server) startDuties(ctx context.Context, duties *conc.WaitGroup, peers net.Listener, operators operatorListener) {
+	s.startFleet(ctx, duties, peers)
+	s.startGates(ctx, duties)
+	duties.Go(func() { s.pollStatuses(ctx) })
+	duties.Go(func() { s.admitter.run(ctx) })
+	duties.Go(func() { s.followService(ctx, s.executor, s.fleet.control) })
+	duties.Go(func() { s.followOut(ctx) })
+	duties.Go(func() { s.serveOperators(ctx, operators) })
+}
