Prove that a frozen holder of a ticket runs it at most once

The property test covers pauses; this one freezes a real process (SIGSTOP) while copies wait in its sockets. It passed at once; it was not shown failing first.

--- a/internal/processtest/execute_test.go
+++ b/internal/processtest/execute_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -138,3 +140,31 @@
 		})
 	}
 }
+
+// TestFrozenHolderRunsItsTicketAtMostOnce guards P6 and P7 against a host that is frozen while it holds a ticket: copies that
+// wait in its sockets and copies that come after it wakes must not run it twice, and nobody may say that it did not run.
+func TestFrozenHolderRunsItsTicketAtMostOnce(t *testing.T) {
+	c := Start(t, Small(3))
+	holder := c.Hosts[0]
+	text, refusal := holder.Ticket()
+	require.Nil(t, refusal)
+	holder.Freeze()
+	refusals := make([]*fault.Error, 2*len(c.Hosts))
+	var copies sync.WaitGroup
+	for i := range refusals {
+		copies.Go(func() { refusals[i] = c.Hosts[i%len(c.Hosts)].Execute(text, "frozen") })
+	}
+	time.Sleep(5 * time.Second)
+	holder.Thaw()
+	copies.Wait()
+	holder.AwaitWhole()
+	for _, h := range c.Hosts {
+		refusals = append(refusals, h.Execute(text, "frozen"))
+	}
+	require.LessOrEqual(t, c.runs("frozen"), 1)
+	for _, refusal := range refusals {
+		if c.runs("frozen") > 0 && refusal != nil {
+			require.NotEqual(t, fault.NotRun, refusal.Execution, refusal.Message)
+		}
+	}
+}
