Keep the load of the planned-stop test within the caller's grant

Change: each caller pauses for 20 ms.

Ruled out: accepting rate_limited as a refusal, which would hide a host that refuses early.

--- a/internal/processtest/stop_test.go
+++ b/internal/processtest/stop_test.go
@@ -12,8 +12,11 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 )
 
-// TestPlannedStopCutsNoRequest guards against a planned stop that cuts a request (P9): callers that send without a break
-// until the host refuses them get a whole answer or a refusal that says "not run" for every request.
+// callerPause keeps eight callers below half of the trial caller's rate of 1000/s, which each of two hosts owns.
+const callerPause = 20 * time.Millisecond
+
+// TestPlannedStopCutsNoRequest guards against a planned stop that cuts a request (P9): callers that send until the host
+// refuses them get a whole answer or a refusal that says "not run" for every request.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	c := Start(t, Small(2))
 	h := c.Hosts[0]
@@ -23,6 +26,7 @@
 	for caller := range 8 {
 		callers.Go(func() {
 			for n := 0; ; n++ {
+				time.Sleep(callerPause)
 				reply, refusal := h.Search(fmt.Sprintf("caller %d request %d", caller, n))
 				if refusal != nil {
 					require.Equal(t, fault.Stopping, refusal.Kind, refusal.Error())
