--- a/internal/control/pulls.go
+++ b/internal/control/pulls.go
@@ -148,7 +148,7 @@
 	n.pulls.pending[token] = pendingPull{sent: now, deadline: now + timeout}
 }
 
-// pullEarly hastens the next pull because a host has announced a newer generation.
+// pullEarly brings the next pull forward because a host has announced a newer generation.
 func (n *node) pullEarly(now time.Duration, origin model.HostID) {
 	n.pulls.origin = origin
 	// The jitter keeps hosts that hear of it at once from asking the same parent at once.
--- a/internal/server/gate_callers.go
+++ b/internal/server/gate_callers.go
@@ -37,7 +37,7 @@
 		if err == nil {
 			return release, nil
 		}
-		g.hasten()
+		g.requestTick()
 		limit := min(borrowWait, time.Until(deadline)/4)
 		if !mayWait || time.Since(start) >= limit || !g.awaitLoan(limit-time.Since(start)) {
 			return nil, err
@@ -105,10 +105,10 @@
 	return ok
 }
 
-// hasten makes run tick at once. A tick that is already due is enough.
-func (g *gates) hasten() {
+// requestTick makes run tick at once. A tick that is already due is enough.
+func (g *gates) requestTick() {
 	select {
-	case g.hurry <- struct{}{}:
+	case g.earlyTick <- struct{}{}:
 	default:
 	}
 }
--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -47,8 +47,8 @@
 	addressesAt time.Duration
 	// waiting counts the requests that wait for a loan.
 	waiting atomic.Int64
-	// hurry tells run to tick early, because a caller was refused and this host may borrow more.
-	hurry chan struct{}
+	// earlyTick tells run to tick early, because a caller was refused and this host may borrow more.
+	earlyTick chan struct{}
 	outbox
 }
 
@@ -77,7 +77,7 @@
 		phases:      coldstart.New(),
 		owners:      map[model.TargetID]model.HostID{},
 		unreachable: map[model.TargetID]bool{},
-		hurry:       make(chan struct{}, 1),
+		earlyTick:   make(chan struct{}, 1),
 	}
 	g.register()
 	return g
@@ -92,7 +92,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-g.hurry:
+		case <-g.earlyTick:
 		}
 		g.do(func(now time.Duration) { g.tick(now) })
 	}
