Borrow few units in flight one by one, and give them back at once

Cause: with 6 units in flight for 12 hosts, a host that missed one unit asked every owner for one, rounded up, kept them for the busiest of the last ten slots, and the next hosts found none: TestFewUnitsServeEveryHost, written for the wait in Take, said "over its in-flight limit at this host" at the third host (h02).

Ruled out: a longer wait in Take, which would hold requests back behind idle units.

Change: units are asked of twice as many owners as are missing, starting with others each time; loans above the need are given back; up to a grant of 32 units a host keeps only what it uses and what it needed in the last 0.1 s.

--- a/internal/server/gates_test.go
+++ b/internal/server/gates_test.go
@@ -274,3 +274,22 @@
 		require.False(t, g.Warm("t1"))
 	})
 }
+
+// TestFewUnitsServeEveryHost guards against a caller with fewer units in flight than there are hosts, whose requests one
+// after the other are refused because hosts that are done keep the units, or borrow more than they use.
+func TestFewUnitsServeEveryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		catalogue := gateCatalogue(1)
+		// Half of the twelve hosts own no unit. The other limits are too large to matter.
+		catalogue.Callers[0] = model.Caller{ID: "depot", InFlight: 6, Rate: 60_000, Cost: 600_000}
+		f := newFakeFleet(12, catalogue)
+		defer f.run()()
+		for _, h := range f.hosts {
+			start := time.Now()
+			release, err := h.gates.Take("depot", 10, time.Now().Add(time.Second))
+			require.NoError(t, err, "%s", h.id)
+			require.LessOrEqual(t, time.Since(start), borrowWait)
+			release()
+		}
+	})
+}
--- a/internal/share/borrower.go
+++ b/internal/share/borrower.go
@@ -164,6 +164,9 @@
 	}
 	missing := max(0, need-e.borrowed())
 	var sends []Send
+	if e.key.Kind.isUnits() {
+		return s.borrowUnits(e, now, owners, need, missing)
+	}
 	for position, owner := range owners {
 		ask := s.amountFor(e, owner, need, missing, position, len(owners))
 		sends = s.request(sends, e, now, owner, ask)
@@ -171,6 +174,29 @@
 	return sends
 }
 
+// borrowUnits sends the requests for whole units. They can't be asked of all owners in small parts: a host that misses one
+// unit would borrow one of each owner, and other hosts would find none. So twice as many owners are asked as units are
+// missing, others the next time, and once nothing is missing the loans above the need are given back.
+func (s *State) borrowUnits(e *entry, now time.Duration, owners []model.HostID, need, missing float64) []Send {
+	var sends []Send
+	left := math.Ceil(need)
+	more := math.Ceil(2 * missing)
+	e.firstAsked++
+	for i := range owners {
+		owner := owners[(i+e.firstAsked)%len(owners)]
+		held := e.debt(owner).amount
+		ask := min(held, left)
+		if more > 0 {
+			extra := max(0, min(more, need, e.portions[owner])-held)
+			ask = held + extra
+			more -= extra
+		}
+		left -= min(left, held)
+		sends = s.request(sends, e, now, owner, ask)
+	}
+	return sends
+}
+
 // amountFor returns the amount to ask one owner for: what it lends now and twice an equal part of what is missing, so that
 // owners without a surplus are made up for by the others.
 func (s *State) amountFor(e *entry, owner model.HostID, need, missing float64, position, owners int) float64 {
@@ -182,9 +208,6 @@
 	if missing == 0 {
 		ask = held * need / max(need, e.borrowed())
 	}
-	if e.key.Kind.isUnits() {
-		ask = math.Ceil(ask)
-	}
 	return min(ask, need, e.portions[owner])
 }
 
@@ -198,7 +221,7 @@
 	switch {
 	case ask > d.asked*1.1:
 		interval = urgentInterval
-	case e.key.Kind.isUnits() && d.amount < ask:
+	case e.key.Kind.isUnits() && d.amount != ask:
 		interval = unitsInterval
 	}
 	if d.everSent && now-d.sentAt < interval {
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -8,6 +8,11 @@
 	// permitSlots is the number of slots for which a host keeps a permit of a cold target that it does not use. Permits
 	// are few, and other hosts wait for them.
 	permitSlots = 2
+	// scarceUnits is the grant of units up to which a host keeps no more than it uses, because there may be fewer units than
+	// hosts.
+	scarceUnits = 32
+	// scarceSlots is the number of slots for which a host keeps one of few units that it does not use.
+	scarceSlots = 1
 	// leastPart is the least part of a grant that a host with any demand asks for. A borrowed rate starts without
 	// tokens, so the first requests of a caller would wait long for a loan that is only as large as their rate.
 	leastPart = 0.04
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -60,8 +60,10 @@
 
 // entry is the state of one key.
 type entry struct {
-	key   Key
-	grant float64
+	// firstAsked is the position of the owner that is asked first for units the next time.
+	firstAsked int
+	key        Key
+	grant      float64
 	// shares holds this host's part of the grant by table generation.
 	shares map[uint64]float64
 	// portions holds the parts of the owners in the newest table, for the generation and grant below.
@@ -362,6 +364,9 @@
 func (e *entry) wanted(now time.Duration) float64 {
 	switch e.key.Kind {
 	case InFlight:
+		if e.grant <= scarceUnits {
+			return max(e.demand.units(now, scarceSlots), e.inUse())
+		}
 		return math.Ceil(e.atLeast(headroom * max(e.demand.units(now, demandSlots), e.inUse())))
 	case Cold:
 		return max(e.demand.units(now, permitSlots), e.inUse())
