Count the demand of a waiting request once

Cause: a request that waits for a loan tries every 5 ms, and each try counted as demand of its own, 200/s for each waiting request. Owners lent their whole rate for it, and a host that had lent its share refused its own caller's first request: TestFewUnitsServeEveryHost with a rate of 600/s failed at h11, over its rate limit.

Ruled out: a larger reserve of the owners, which would hold back a caller that lands on one host (90 % of its grant is promised).

Change: only the first try counts.

--- a/internal/server/gate_callers.go
+++ b/internal/server/gate_callers.go
@@ -32,8 +32,9 @@
 		return nil, fault.New(fault.CutOff, fault.NotRun, "use another host",
 			"this host may be cut off from configuration changes")
 	}
-	for start := time.Now(); ; {
-		release, mayWait, err := g.tryTake(caller, cost, time.Until(deadline))
+	start := time.Now()
+	for retry := false; ; retry = true {
+		release, mayWait, err := g.tryTake(caller, cost, time.Until(deadline), retry)
 		if err == nil {
 			return release, nil
 		}
@@ -46,10 +47,12 @@
 }
 
 // tryTake takes what a request needs at once. mayWait tells whether this host may only not have borrowed yet.
-func (g *gates) tryTake(caller model.CallerID, cost float64, remaining time.Duration) (release func(), mayWait bool, err error) {
+func (g *gates) tryTake(
+	caller model.CallerID, cost float64, remaining time.Duration, retry bool,
+) (release func(), mayWait bool, err error) {
 	g.do(func(now time.Duration) {
 		var unit share.Unit
-		if unit, err = g.take(now, caller, cost, remaining); err == nil {
+		if unit, err = g.take(now, caller, cost, remaining, retry); err == nil {
 			release = func() { g.do(func(now time.Duration) { g.shares.Release(now, unit) }) }
 		}
 		mayWait = g.shares.IsNewDemand(now, rateKey(caller), newDemand) || g.hasNothing(now, caller)
@@ -76,11 +79,18 @@
 	return true
 }
 
-func (g *gates) take(now time.Duration, caller model.CallerID, cost float64, remaining time.Duration) (share.Unit, error) {
-	if !g.shares.Take(now, rateKey(caller), 1) {
+// take takes what a request needs. retry tells that the request was refused before and waits for a loan.
+func (g *gates) take(
+	now time.Duration, caller model.CallerID, cost float64, remaining time.Duration, retry bool,
+) (share.Unit, error) {
+	takeTokens := g.shares.Take
+	if retry {
+		takeTokens = g.shares.Retry
+	}
+	if !takeTokens(now, rateKey(caller), 1) {
 		return share.Unit{}, overLimit(caller, "rate")
 	}
-	if !g.shares.Take(now, costKey(caller), cost) {
+	if !takeTokens(now, costKey(caller), cost) {
 		g.shares.Untake(rateKey(caller), 1)
 		return share.Unit{}, overLimit(caller, "cost")
 	}
--- a/internal/server/gates_test.go
+++ b/internal/server/gates_test.go
@@ -280,8 +280,7 @@
 func TestFewUnitsServeEveryHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		catalogue := gateCatalogue(1)
-		// Half of the twelve hosts own no unit. The other limits are too large to matter.
-		catalogue.Callers[0] = model.Caller{ID: "depot", InFlight: 6, Rate: 60_000, Cost: 600_000}
+		catalogue.Callers[0].InFlight = 6 // half of the twelve hosts own no unit
 		f := newFakeFleet(12, catalogue)
 		defer f.run()()
 		for _, h := range f.hosts {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -265,6 +265,13 @@
 	return e.bucket.take(amount)
 }
 
+// Retry takes tokens for a request that Take has refused before. It adds nothing to the demand: a request that waits for a
+// loan would otherwise ask for as many times its need as it tries.
+func (s *State) Retry(now time.Duration, key Key, amount float64) bool {
+	e := s.touch(now, key)
+	return e != nil && e.bucket.take(amount)
+}
+
 // Untake gives back tokens that were taken at the same moment.
 func (s *State) Untake(key Key, amount float64) {
 	if e := s.entries[key]; e != nil {
