Read the fleet keys once

A host that can't read them does not start in any case.

Change: joinFleet keeps the keys and the others use them. Without key files answers still bear no token.

--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -24,6 +24,8 @@
 type fleetState struct {
 	transport *peer.FrameTransport
 	control   *control.Loop
+	// keys authenticate peers, tickets and snapshot tokens. The first signs; all of them verify.
+	keys [][]byte
 	// err is returned when the server is started.
 	err error
 }
@@ -36,6 +38,7 @@
 		s.fleet.err = err
 		keys = [][]byte{trialKey}
 	}
+	s.fleet.keys = keys
 	transport, err := peer.New(s.logger, peer.Config{
 		Listen:  s.settings.PeerListen,
 		Self:    peer.Sender{Host: s.settings.HostID, Incarnation: incarnation},
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -1,11 +1,8 @@
 package server
 
 import (
-	"go.uber.org/zap"
-
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/query"
-	"github.com/knapweedrouter/knapweedrouter/internal/settings"
 	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
 )
 
@@ -16,7 +13,7 @@
 		Inventory:   s.inventory,
 		Host:        s.settings.HostID,
 		Incarnation: incarnation,
-		Keys:        fleetKeys(s.logger, s.settings),
+		Keys:        s.tokenKeys(),
 		Seed:        uint64(incarnation),
 		Observer:    s.guard,
 		Gate:        s.targetGate(),
@@ -24,16 +21,10 @@
 	})
 }
 
-// fleetKeys reads the fleet keys. A key that cannot be read is left out and logged; without any, answers bear no token.
-func fleetKeys(logger *zap.Logger, s settings.Settings) snapshot.Keys {
-	var keys snapshot.Keys
-	for _, path := range s.FleetKeyFiles {
-		key, err := settings.ReadSecret(path)
-		if err != nil {
-			logger.Error("fleet key cannot be read", zap.Error(err))
-			continue
-		}
-		keys = append(keys, key)
+// tokenKeys returns the keys of snapshot tokens. Without key files answers bear no token.
+func (s *Server) tokenKeys() snapshot.Keys {
+	if len(s.settings.FleetKeyFiles) == 0 {
+		return nil
 	}
-	return keys
+	return s.fleet.keys
 }
--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -71,13 +71,9 @@
 	return engine
 }
 
-// newSealer reads the fleet keys. A host that can't read them does not start, so the key in their place is never used.
+// newSealer returns the sealer of tickets under the fleet keys.
 func (s *Server) newSealer() *ticket.Sealer {
-	keys, err := s.fleetKeys()
-	if err != nil {
-		keys = [][]byte{trialKey}
-	}
-	sealer, err := ticket.NewSealer(keys...)
+	sealer, err := ticket.NewSealer(s.fleet.keys...)
 	if err != nil {
 		panic(err) // there is a key
 	}
