Serve opaque requests by an outside configuration on the users' platform

Cause: the users' platform speaks opaque HTTP requests, keeps configuration and registered targets in its own store, and the product had no path for them.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -30,6 +30,18 @@
 // Tokens returns the number of extra attempts that are saved up.
 func (b *Bucket) Tokens() float64 { return b.tokens }
 
+// Limit lowers the number of extra attempts that are saved up.
+func (b *Bucket) Limit(tokens float64) { b.tokens = min(b.tokens, tokens) }
+
+// Take takes the right to one extra attempt, if there is one.
+func (b *Bucket) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // CanSpend tells whether one extra attempt is within the budget and leaves the reserve, a share of the burst.
 func (b *Bucket) CanSpend(reserve float64) bool { return b.tokens >= 1+reserve*b.cfg.Burst }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,6 +51,7 @@
 	mustAdd(parser.AddGroup("Options", "", &rootOptions{Version: func() {}}))
 	r := registry{parser.Command}
 	r.add("serve", "Run one host of the query tier", &serveCommand{})
+	r.add("gateway", "Run one host that passes opaque requests on by an outside configuration", &gatewayCommand{})
 	r.add("check-config", "Check a settings or catalogue file", &checkConfigCommand{})
 	r.add("query", "Send one search as a caller", &queryCommand{})
 	r.add("dev", "Run a whole deployment in one process", &devCommand{})
--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/gateway"
+	"github.com/knapweedrouter/knapweedrouter/internal/logring"
+	"github.com/knapweedrouter/knapweedrouter/platform"
+)
+
+type gatewayCommand struct {
+	Config string `long:"config" description:"path of the settings file (JSON); without it the platform's variable names it"`
+}
+
+// Execute runs the gateway until SIGTERM or SIGINT.
+func (c *gatewayCommand) Execute([]string) error {
+	path := c.Config
+	if path == "" {
+		path = os.Getenv(platform.SettingsPathVariable)
+	}
+	s, err := gateway.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	ring := logring.New(os.Stdout)
+	stopLog, logEnded := make(chan struct{}), make(chan struct{})
+	go func() {
+		ring.Run(stopLog)
+		close(logEnded)
+	}()
+	defer func() {
+		close(stopLog)
+		<-logEnded
+	}()
+	logger := newLineLogger(ring).With(zap.String("host", string(s.HostID)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return gateway.New(logger, s, func(observed gateway.StoreObserver) gateway.Platform {
+		return gateway.Platform{
+			Feed:      platform.NewStore(s.StoreAddress, observed),
+			Decoder:   platform.Documents{},
+			Targets:   platform.Headers{},
+			Callers:   platform.Headers{},
+			Prefix:    platform.Prefix,
+			ReadyPath: platform.ReadyPath,
+		}
+	}).Run(ctx)
+}
+
+// newLineLogger returns a logger of one JSON object a line.
+func newLineLogger(out zapcore.WriteSyncer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = zapcore.MillisDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel))
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -114,6 +114,9 @@
 	return e
 }
 
+// RetryAfter returns the time after which a repeat is useful, 0 if unknown.
+func (e *Error) RetryAfter() time.Duration { return time.Duration(e.RetryAfterMS) * time.Millisecond }
+
 // WithCoverage sets the coverage reached.
 func (e *Error) WithCoverage(fraction float64) *Error {
 	e.Coverage = &fraction
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,129 @@
+// Package follow keeps a copy of the keys of a store.Feed up to date: it lists them, waits for changes, and starts again
+// where the history is lost.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+const (
+	// changeWait is the time for which the store holds a call for changes. A connection that has fallen silent is noticed
+	// callGrace after it, so that a change is in force within seconds all the same.
+	changeWait = 4 * time.Second
+	// callGrace is the time after the wait within which the store's answer arrives.
+	callGrace = 700 * time.Millisecond
+	// listTimeout bounds a listing.
+	listTimeout = 3 * time.Second
+	// gatherTime is the pause after changes. Changes that come together then cost one call.
+	gatherTime = 200 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed call.
+	minBackoff = 150 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Sink takes what the follower learns. Its methods are called from one goroutine.
+type Sink interface {
+	// Reset takes all entries.
+	Reset(entries []store.Entry)
+	// Apply takes changes in the order of their revisions.
+	Apply(changes []store.Change)
+	// Lost notes that the store did not answer or refused, Regained that it answers again.
+	Lost(err error)
+	Regained()
+}
+
+// Follower follows one range of keys.
+type Follower struct {
+	logger *zap.Logger
+	feed   store.Feed
+	prefix string
+	sink   Sink
+
+	revision store.Revision
+	listed   bool
+	failures int
+	lostAt   time.Time
+}
+
+// New returns a follower of the keys with the prefix.
+func New(logger *zap.Logger, feed store.Feed, prefix string, sink Sink) *Follower {
+	return &Follower{logger: logger, feed: feed, prefix: prefix, sink: sink}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause, err := f.step(ctx)
+		if err != nil && ctx.Err() == nil {
+			pause = f.failed(err)
+		}
+		_ = ctxtime.Sleep(ctx, pause) // the loop ends with the context
+	}
+}
+
+// step makes one call and returns the pause before the next.
+func (f *Follower) step(ctx context.Context) (time.Duration, error) {
+	if !f.listed {
+		return 0, f.list(ctx)
+	}
+	bounded, cancel := context.WithTimeout(ctx, changeWait+callGrace)
+	defer cancel()
+	changes, revision, err := f.feed.Changes(bounded, f.prefix, f.revision, changeWait)
+	if errors.Is(err, store.ErrHistoryLost) {
+		f.logger.Warn("store history lost: listing again", zap.Uint64("after", uint64(f.revision)))
+		f.listed = false
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	f.succeeded()
+	f.revision = max(f.revision, revision)
+	if len(changes) == 0 {
+		return 0, nil
+	}
+	f.sink.Apply(changes)
+	return gatherTime, nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := f.feed.List(bounded, f.prefix)
+	if err != nil {
+		return err
+	}
+	f.succeeded()
+	f.revision, f.listed = revision, true
+	f.sink.Reset(entries)
+	return nil
+}
+
+// succeeded notes that the store answers.
+func (f *Follower) succeeded() {
+	if f.failures > 0 {
+		f.logger.Info("store regained", zap.Duration("away", time.Since(f.lostAt)), zap.Int("failed_calls", f.failures))
+		f.sink.Regained()
+	}
+	f.failures = 0
+}
+
+// failed notes a failed call and returns the pause before the next: a random time that doubles with each failure.
+func (f *Follower) failed(err error) time.Duration {
+	if f.failures == 0 {
+		f.lostAt = time.Now()
+		f.logger.Warn("store lost", zap.Error(err), zap.Uint64("revision", uint64(f.revision)))
+	}
+	f.failures++
+	f.sink.Lost(err)
+	limit := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
+	return limit/2 + rand.N(limit/2)
+}
--- /dev/null
+++ b/internal/gateway/front.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/forward"
+	"github.com/knapweedrouter/knapweedrouter/internal/records"
+	"github.com/knapweedrouter/knapweedrouter/internal/routing"
+)
+
+const (
+	// answerMargin is the time before a request's deadline at which its final answer leaves.
+	answerMargin = 5 * time.Millisecond
+	// maxBodyBytes bounds a request body where the configuration names no limit.
+	maxBodyBytes = 8 << 20
+	// notReadyRetry is the time after which a caller is asked to come back to a host without a configuration.
+	notReadyRetry = 200 * time.Millisecond
+)
+
+// CallerDialect translates between the project's model and the headers that callers understand.
+type CallerDialect interface {
+	// RequestID returns the caller's id of the request; empty if it has none.
+	RequestID(header http.Header) string
+	// Allowed returns the time that the caller waits, if it says so.
+	Allowed(header http.Header) (time.Duration, bool)
+	// StateParts states the seals of the parts in an answer and the number of shards that are missing.
+	StateParts(header http.Header, seals []string, missing int)
+	// StateRetry states the time after which a refused request is worth repeating.
+	StateRetry(header http.Header, after time.Duration)
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+	"Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// front answers callers.
+type front struct {
+	dialect CallerDialect
+	engine  *forward.Engine
+	observe *observer
+}
+
+// ServeHTTP implements http.Handler.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	world := f.engine.World()
+	if world == nil {
+		f.refuse(w, r, fault.New(fault.NotReady, fault.NotRun, "use another host",
+			"this host has no configuration yet").WithRetryAfter(notReadyRetry))
+		return
+	}
+	route := world.Table.Match(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		f.refuse(w, r, fault.New(fault.NotFound, fault.NotRun, "use a host name and path of the configuration", "no route"))
+		return
+	}
+	body, err := readBody(w, r, world.Table.Limits)
+	if err != nil {
+		f.refuse(w, r, err)
+		return
+	}
+	request := forward.Request{
+		Request: &exchange.Request{
+			ID:     f.dialect.RequestID(r.Header),
+			Method: r.Method,
+			URI:    r.RequestURI,
+			Host:   r.Host,
+			Header: endToEnd(r.Header),
+			Body:   body,
+		},
+		Route:    route,
+		Arrived:  arrived,
+		Deadline: arrived.Add(f.allowed(r.Header, route) - answerMargin),
+	}
+	f.answer(w, r, request, f.engine.Do(f.callerContext(r, route), request))
+}
+
+// callerContext returns the context that ends when the caller goes away. A request that may not be repeated goes on to its
+// end: its target may complete it anyway, and breaking it off would leave the outcome unknown.
+func (f *front) callerContext(r *http.Request, route *routing.Route) context.Context {
+	if route.Repeatable {
+		return r.Context()
+	}
+	return context.WithoutCancel(r.Context())
+}
+
+// allowed returns the time within which the caller gets its final answer.
+func (f *front) allowed(header http.Header, route *routing.Route) time.Duration {
+	if allowed, ok := f.dialect.Allowed(header); ok {
+		return min(allowed, route.Timeout)
+	}
+	return route.Timeout
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limits routing.ClientLimits) ([]byte, *fault.Error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.TooLarge, fault.NotRun, "send a shorter body", "the body has more than %d bytes", limit)
+	}
+	return nil, fault.Wrap(err, fault.BadRequest, fault.NotRun, "send the whole body", "the body is not whole")
+}
+
+// endToEnd returns the headers that concern more than one connection.
+func endToEnd(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, name := range header.Values("Connection") {
+		kept.Del(name)
+	}
+	for _, name := range connectionHeaders {
+		kept.Del(name)
+	}
+	return kept
+}
+
+// answer writes the outcome of a request.
+func (f *front) answer(w http.ResponseWriter, r *http.Request, request forward.Request, outcome forward.Outcome) {
+	switch {
+	case outcome.Err != nil:
+		f.refuse(w, r, outcome.Err)
+	case outcome.Failure != nil:
+		f.pass(w, outcome.Failure)
+	case len(request.Route.Shards) > 0:
+		f.gather(w, request.Route, outcome.Replies)
+	default:
+		f.pass(w, outcome.Replies[0])
+	}
+}
+
+// pass writes a target's reply unchanged.
+func (f *front) pass(w http.ResponseWriter, reply *exchange.Reply) {
+	header := w.Header()
+	for name, values := range endToEnd(reply.Header) {
+		header[name] = values
+	}
+	f.write(w, reply.Status, reply.Body)
+}
+
+// gather writes the answer from several shards.
+func (f *front) gather(w http.ResponseWriter, route *routing.Route, replies []*exchange.Reply) {
+	var seals []string
+	var parts [][]byte
+	for _, reply := range replies {
+		if reply != nil {
+			seals = append(seals, reply.Seal)
+			parts = append(parts, reply.Body)
+		}
+	}
+	f.dialect.StateParts(w.Header(), seals, len(replies)-len(seals))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	f.write(w, http.StatusOK, records.Top(parts, route.TopRecords))
+}
+
+// refuse writes an answer of this host's own.
+func (f *front) refuse(w http.ResponseWriter, r *http.Request, err *fault.Error) {
+	if after := err.RetryAfter(); after > 0 {
+		f.dialect.StateRetry(w.Header(), after)
+	}
+	f.observe.refused(f.dialect.RequestID(r.Header), r.Host, r.URL.Path, err)
+	w.Header().Set("Content-Type", "text/plain")
+	f.write(w, err.HTTPStatus(), []byte(err.Error()+"\n"))
+}
+
+func (f *front) write(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if w.Header().Get("Content-Type") == "" {
+		w.Header()["Content-Type"] = nil // the reply has none, and none is guessed
+	}
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		f.observe.unwritten(err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,187 @@
+// Package gateway wires one host that passes opaque requests on by the routes of an outside configuration: listeners,
+// engine, copy of the store, registration of the host, planned stop.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
+	"github.com/knapweedrouter/knapweedrouter/internal/follow"
+	"github.com/knapweedrouter/knapweedrouter/internal/forward"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+const (
+	// headerTimeout is longer than the time that configurations allow a caller for its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than configurations let a caller's connection idle, so that a request does not meet a closing
+	// one.
+	idleTimeout = time.Minute
+	// maxHeaderBytes bounds the memory for headers.
+	maxHeaderBytes = 64 << 10
+	probeTimeout   = 2 * time.Second
+)
+
+// Platform holds what translates between the project's model and the outside.
+type Platform struct {
+	Feed      store.Feed
+	Decoder   Decoder
+	Targets   exchange.Dialect
+	Callers   CallerDialect
+	Prefix    string // of the keys that concern this host
+	ReadyPath string
+}
+
+// Gateway is one host's process.
+type Gateway struct {
+	logger   *zap.Logger
+	settings Settings
+	platform Platform
+	pool     *exchange.Pool
+	engine   *forward.Engine
+	state    *state
+	observe  *observer
+	stopper  *stopper
+}
+
+// New returns a gateway that has not started. platform is called once with the observer of store calls.
+func New(logger *zap.Logger, s Settings, platform func(StoreObserver) Platform) *Gateway {
+	observe := newObserver(logger)
+	p := platform(observe.storeCall)
+	pool := exchange.NewPool(p.Targets)
+	engine := forward.New(forward.Config{
+		Client:     pool,
+		Host:       s.HostID,
+		DataCentre: s.DataCentre,
+		ExtraRatio: s.ExtraRatio,
+		ExtraSlack: s.ExtraSlack,
+		Observer:   observe,
+	})
+	return &Gateway{
+		logger:   logger,
+		settings: s,
+		platform: p,
+		pool:     pool,
+		engine:   engine,
+		state:    newState(logger, p.Decoder, engine, s.HostID),
+		observe:  observe,
+		stopper:  newStopper(time.Duration(s.StopSeconds * float64(time.Second))),
+	}
+}
+
+// StoreObserver is told of each call to the store.
+type StoreObserver func(call, result string, took time.Duration)
+
+// Run serves until the context ends, and then stops as planned: it finishes the work that it has.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.settings.CallerListen)
+	if err != nil {
+		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", g.settings.CallerListen)
+	}
+	probes, err := net.Listen("tcp", g.settings.ReadyListen)
+	if err != nil {
+		return eris.Wrapf(err, "ready listener: choose another ready_listen than %s", g.settings.ReadyListen)
+	}
+	operators, err := net.Listen("tcp", g.settings.OperatorListen)
+	if err != nil {
+		return eris.Wrapf(err, "operator listener: choose another operator_listen than %s", g.settings.OperatorListen)
+	}
+	stopping := ctx.Done()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var duties conc.WaitGroup
+	callerServer := g.callerServer()
+	probeServer := &http.Server{Handler: g.probeHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
+	operatorServer := &http.Server{Handler: g.operatorHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
+	follower := follow.New(g.logger, g.platform.Feed, g.platform.Prefix, g.state)
+	registered := presence{
+		logger: g.logger,
+		feed:   g.platform.Feed,
+		host:   g.settings.HostID,
+		record: hostRecord{DataCentre: g.settings.DataCentre, Incarnation: model.Incarnation(time.Now().UnixNano())},
+	}
+	duties.Go(func() { follower.Run(ctx) })
+	duties.Go(func() { registered.run(ctx) })
+	duties.Go(func() { g.state.run(ctx) })
+	duties.Go(func() { g.summarize(ctx) })
+	duties.Go(func() { g.serve(probeServer, probes) })
+	duties.Go(func() { g.serve(operatorServer, operators) })
+	duties.Go(func() {
+		select {
+		case <-stopping:
+			g.stopper.run(ctx, g.logger, callerServer)
+		case <-ctx.Done():
+		}
+	})
+	g.logger.Info("host started", zap.String("host", string(g.settings.HostID)),
+		zap.String("data_centre", string(g.settings.DataCentre)), zap.String("callers", g.settings.CallerListen))
+	err = callerServer.Serve(callers)
+	g.stopper.wait(ctx)
+	cancel()
+	probeServer.Close()
+	operatorServer.Close()
+	duties.Wait()
+	g.observe.summarize()
+	g.logger.Info("host stopped")
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "caller listener")
+}
+
+func (g *Gateway) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           g.stopper.wrap(&front{dialect: g.platform.Callers, engine: g.engine, observe: g.observe}),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(g.logger),
+	}
+}
+
+func (g *Gateway) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		g.logger.Error("listener ended", zap.String("address", listener.Addr().String()), zap.Error(err))
+	}
+}
+
+// probeHandler answers the balancer.
+func (g *Gateway) probeHandler() http.Handler {
+	router := httprouter.New()
+	router.GET(g.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		if g.engine.World() == nil || g.stopper.isStopping() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+// operatorHandler serves metrics and the state of the process.
+func (g *Gateway) operatorHandler() http.Handler {
+	router := httprouter.New()
+	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		g.observe.metrics.WritePrometheus(w)
+	})
+	return router
+}
+
+// summarize logs summaries until the context ends, and drops connections to targets that are gone.
+func (g *Gateway) summarize(ctx context.Context) {
+	for ctxtime.Sleep(ctx, summaryInterval) == nil {
+		g.observe.summarize()
+		if world := g.engine.World(); world != nil {
+			g.pool.KeepOnly(world.IsRegistered)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/observe.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/forward"
+	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
+)
+
+const (
+	// linesPerSecond and lineBurst bound the lines about requests.
+	linesPerSecond = 60
+	lineBurst      = 240
+	// sampleEvery is the number of ordinary requests for which one gets a line.
+	sampleEvery = 64
+	// summaryInterval is the time between two summaries of the requests of each route.
+	summaryInterval = 10 * time.Second
+)
+
+// observer logs and counts decisions. It implements forward.Observer.
+type observer struct {
+	logger  *zap.Logger
+	metrics *metrics.Set
+	lines   *rate.Limiter
+
+	mu       sync.Mutex
+	ordinary int
+	withheld int
+	routes   map[string]*routeSummary
+}
+
+// routeSummary counts the requests of a route since the last summary.
+type routeSummary struct {
+	answered, partial, failed, refused, attempts, extra, withoutBudget int
+	slowest                                                            time.Duration
+}
+
+func newObserver(logger *zap.Logger) *observer {
+	return &observer{
+		logger:  logger,
+		metrics: metrics.NewSet(),
+		lines:   rate.NewLimiter(linesPerSecond, lineBurst),
+		routes:  map[string]*routeSummary{},
+	}
+}
+
+// RequestEnded implements forward.Observer.
+func (o *observer) RequestEnded(t forward.Trace) {
+	outcome := outcomeOf(&t)
+	o.metrics.GetOrCreateCounter(`knapweedrouter_requests_total{route="` + t.Route + `",outcome="` + outcome + `"}`).Inc()
+	o.metrics.GetOrCreateHistogram(`knapweedrouter_request_seconds{route="` + t.Route + `"}`).Update(t.Took.Seconds())
+	for i := range t.Attempts {
+		a := &t.Attempts[i]
+		o.metrics.GetOrCreateCounter(`knapweedrouter_attempts_total{kind="` + string(a.Kind) + `",failure="` + string(a.Failure) + `"}`).Inc()
+	}
+	o.metrics.GetOrCreateCounter("knapweedrouter_budget_refusals_total").Add(t.BudgetRefusals)
+	o.metrics.GetOrCreateCounter("knapweedrouter_parts_missing_total").Add(max(0, t.Shards-t.Answered))
+	if o.mayLog(&t) {
+		o.logger.Info("request "+outcome, traceFields(&t)...)
+	}
+}
+
+// mayLog sums the request up and tells whether it gets a line of its own: every request that is not ordinary, as long as
+// the bound allows, and a sample of the others.
+func (o *observer) mayLog(t *forward.Trace) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sum(t)
+	if t.IsOrdinary() {
+		o.ordinary++
+		return o.ordinary%sampleEvery == 1 && o.lines.Allow()
+	}
+	if !o.lines.Allow() {
+		o.withheld++
+		return false
+	}
+	return true
+}
+
+func (o *observer) sum(t *forward.Trace) {
+	s := o.routes[t.Route]
+	if s == nil {
+		s = &routeSummary{}
+		o.routes[t.Route] = s
+	}
+	switch outcomeOf(t) {
+	case "answered":
+		s.answered++
+	case "partial":
+		s.partial++
+	case "failed":
+		s.failed++
+	default:
+		s.refused++
+	}
+	s.attempts += len(t.Attempts)
+	for i := range t.Attempts {
+		if t.Attempts[i].Kind.Extra() {
+			s.extra++
+		}
+	}
+	s.withoutBudget += t.BudgetRefusals
+	s.slowest = max(s.slowest, t.Took)
+}
+
+func outcomeOf(t *forward.Trace) string {
+	switch {
+	case t.Failed:
+		return "failed"
+	case t.Err != nil:
+		return "refused"
+	case t.Answered < t.Shards:
+		return "partial"
+	}
+	return "answered"
+}
+
+func traceFields(t *forward.Trace) []zap.Field {
+	fields := []zap.Field{
+		zap.String("id", t.ID),
+		zap.String("route", t.Route),
+		zap.Uint64("generation", uint64(t.Generation)),
+		zap.Int("hosts", t.Hosts),
+		millis("allowed_ms", t.Allowed),
+		millis("took_ms", t.Took),
+		zap.Int("answered", t.Answered),
+		zap.Int("shards", t.Shards),
+		zap.Array("attempts", attemptList(t.Attempts)),
+	}
+	if t.BudgetRefusals > 0 {
+		fields = append(fields, zap.Int("without_budget", t.BudgetRefusals))
+	}
+	if t.Err != nil {
+		fields = append(fields, zap.String("kind", string(t.Err.Kind)), zap.String("execution", string(t.Err.Execution)),
+			zap.String("reason", t.Err.Message), millis("retry_after_ms", t.Err.RetryAfter()))
+	}
+	return fields
+}
+
+func millis(name string, d time.Duration) zap.Field {
+	return zap.Float64(name, float64(d.Microseconds())/1000)
+}
+
+// attemptList writes the attempts that tell something: extra ones, failed ones and those that had not ended.
+type attemptList []forward.AttemptTrace
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (l attemptList) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
+	for i := range l {
+		a := &l[i]
+		if a.Kind == scatter.First && a.Failure == "" && a.Ended > 0 && len(l) > 1 {
+			continue
+		}
+		if err := encoder.AppendObject((*attemptFields)(a)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type attemptFields forward.AttemptTrace
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (a *attemptFields) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	encoder.AddString("service", string(a.Service))
+	encoder.AddString("target", string(a.Target))
+	encoder.AddString("kind", string(a.Kind))
+	encoder.AddFloat64("estimate_ms", float64(a.Estimate.Microseconds())/1000)
+	encoder.AddFloat64("sent_ms", float64(a.Sent.Microseconds())/1000)
+	if a.Ended > 0 {
+		encoder.AddFloat64("ended_ms", float64(a.Ended.Microseconds())/1000)
+	}
+	if a.Failure != "" {
+		encoder.AddString("failure", string(a.Failure))
+		encoder.AddString("cause", a.Cause)
+	}
+	return nil
+}
+
+// refused notes a refusal that no target was asked for. Refusals of the engine have a trace already.
+func (o *observer) refused(id, host, path string, err *fault.Error) {
+	o.metrics.GetOrCreateCounter(`knapweedrouter_refusals_total{kind="` + string(err.Kind) + `",execution="` + string(err.Execution) + `"}`).Inc()
+	if err.Kind != fault.NotFound && err.Kind != fault.NotReady && err.Kind != fault.TooLarge && err.Kind != fault.BadRequest {
+		return
+	}
+	if o.lines.Allow() {
+		o.logger.Info("request refused", zap.String("id", id), zap.String("host", host), zap.String("path", path),
+			zap.String("kind", string(err.Kind)), zap.String("execution", string(err.Execution)), zap.String("reason", err.Message))
+	}
+}
+
+// unwritten notes an answer that its caller did not take.
+func (o *observer) unwritten(err error) {
+	o.metrics.GetOrCreateCounter("knapweedrouter_answers_unwritten_total").Inc()
+	if o.lines.Allow() {
+		o.logger.Info("answer not taken", zap.Error(err))
+	}
+}
+
+// storeCall counts a call to the store.
+func (o *observer) storeCall(call, result string, took time.Duration) {
+	o.metrics.GetOrCreateCounter(`knapweedrouter_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
+	o.metrics.GetOrCreateHistogram(`knapweedrouter_store_call_seconds{call="` + call + `"}`).Update(took.Seconds())
+}
+
+// summarize logs the requests since the last summary.
+func (o *observer) summarize() {
+	o.mu.Lock()
+	routes, withheld, ordinary := o.routes, o.withheld, o.ordinary
+	o.routes, o.withheld, o.ordinary = map[string]*routeSummary{}, 0, 0
+	o.mu.Unlock()
+	for name, s := range routes {
+		o.logger.Info("route summary", zap.String("route", name), zap.Int("answered", s.answered), zap.Int("partial", s.partial),
+			zap.Int("failed", s.failed), zap.Int("refused", s.refused), zap.Int("attempts", s.attempts), zap.Int("extra", s.extra),
+			zap.Int("without_budget", s.withoutBudget), millis("slowest_ms", s.slowest))
+	}
+	if withheld > 0 || ordinary > 0 {
+		o.logger.Info("request lines", zap.Int("ordinary", ordinary), zap.Int("withheld", withheld))
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/strictjson"
+)
+
+// Settings are the settings of a gateway. docs/settings.md lists them.
+type Settings struct {
+	// HostID names the host; it is the same over restarts and different for every host.
+	HostID     model.HostID       `json:"host_id"`
+	DataCentre model.DataCentreID `json:"data_centre"`
+	Region     model.RegionID     `json:"region"`
+	// CallerListen, ReadyListen and OperatorListen are IP:port addresses for callers, the balancer's probes, and metrics.
+	CallerListen   string `json:"caller_listen"`
+	ReadyListen    string `json:"ready_listen"`
+	OperatorListen string `json:"operator_listen"`
+	// StoreAddress is the IP:port address of the store.
+	StoreAddress string `json:"store_address"`
+	// ExtraRatio and ExtraSlack bound the extra attempts at a service in ExtraWindowSeconds, summed over all hosts: the
+	// ratio times the requests for it, and the slack.
+	ExtraRatio float64 `json:"extra_ratio"`
+	ExtraSlack float64 `json:"extra_slack"`
+	// StopSeconds is the time from the signal to stop to the kill.
+	StopSeconds float64 `json:"stop_seconds"`
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "settings: make the file readable")
+	}
+	s, faults := DecodeSettings(content)
+	return s, eris.Wrap(faults.OrNil(), "settings "+path)
+}
+
+// DecodeSettings reads settings and returns every fault.
+func DecodeSettings(content []byte) (Settings, strictjson.Faults) {
+	var s Settings
+	faults := strictjson.Decode(content, &s)
+	return s, strictjson.Merge(faults, s.Validate())
+}
+
+// Validate returns every fault of the values.
+func (s Settings) Validate() strictjson.Faults {
+	var faults strictjson.Faults
+	add := func(field string, value any, allowed, remedy string) {
+		faults = append(faults, strictjson.Fault{Path: "$." + field, Value: strictjson.Show(value), Allowed: allowed, Remedy: remedy})
+	}
+	for field, value := range map[string]string{
+		"host_id": string(s.HostID), "data_centre": string(s.DataCentre), "region": string(s.Region),
+	} {
+		if value == "" {
+			add(field, value, "a name", "name it")
+		}
+	}
+	for field, value := range map[string]string{
+		"caller_listen": s.CallerListen, "ready_listen": s.ReadyListen, "operator_listen": s.OperatorListen, "store_address": s.StoreAddress,
+	} {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			add(field, value, "IP:port", fmt.Sprintf("name an address: %v", err))
+		}
+	}
+	for field, value := range map[string]float64{"extra_ratio": s.ExtraRatio, "extra_slack": s.ExtraSlack} {
+		if value < 0 {
+			add(field, value, "0 or more", "use a number that is not negative")
+		}
+	}
+	if s.StopSeconds <= 0 {
+		add("stop_seconds", s.StopSeconds, "more than 0", "use the time that the process has to stop")
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+)
+
+const (
+	// balancerWait is the time that the balancer needs to notice that this host is not ready.
+	balancerWait = 2500 * time.Millisecond
+	// stopMargin is the time before the process would be killed at which it ends by itself.
+	stopMargin = 400 * time.Millisecond
+	stopPoll   = 20 * time.Millisecond
+	// quietTime is the time without a request after which no caller is taken to use this host any more.
+	quietTime = 600 * time.Millisecond
+)
+
+// stopper carries out a planned stop, which cuts no request.
+type stopper struct {
+	// allowed is the time from the signal to the kill.
+	allowed  time.Duration
+	stopping atomic.Bool
+	running  atomic.Int64
+	lastSeen atomic.Int64 // in ns since the epoch
+	done     chan struct{}
+}
+
+func newStopper(allowed time.Duration) *stopper {
+	return &stopper{allowed: allowed, done: make(chan struct{})}
+}
+
+func (s *stopper) isStopping() bool { return s.stopping.Load() }
+
+// wrap counts requests. While the host stops each answer closes its connection, so that no caller sends a request over a
+// connection that this host is about to close.
+func (s *stopper) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.running.Add(1)
+		defer s.running.Add(-1)
+		s.lastSeen.Store(time.Now().UnixNano())
+		next.ServeHTTP(&closing{ResponseWriter: w, stopper: s}, r)
+	})
+}
+
+// closing closes the connection after an answer that is written while the host stops.
+type closing struct {
+	http.ResponseWriter
+	stopper *stopper
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c *closing) WriteHeader(status int) {
+	if c.stopper.isStopping() {
+		c.Header().Set("Connection", "close")
+	}
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController the connection.
+func (c *closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
+// run takes the host out of service: not ready, then a wait for the balancer and for callers that still use their
+// connections, then the end of the listener and of idle connections.
+func (s *stopper) run(ctx context.Context, logger *zap.Logger, server *http.Server) {
+	defer close(s.done)
+	started := time.Now()
+	s.lastSeen.Store(started.UnixNano())
+	s.stopping.Store(true)
+	logger.Info("planned stop: not ready", zap.Int64("in_progress", s.running.Load()))
+	latest := started.Add(s.allowed - stopMargin)
+	for time.Now().Before(latest) && !s.isQuiet(started) && ctx.Err() == nil {
+		_ = ctxtime.Sleep(ctx, stopPoll) // the loop ends with the context
+	}
+	bounded, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	if err := server.Shutdown(bounded); err != nil {
+		logger.Error("planned stop: requests are cut", zap.Int64("in_progress", s.running.Load()), zap.Error(err))
+		server.Close()
+	}
+	logger.Info("planned stop: done", zap.Duration("took", time.Since(started)))
+}
+
+// isQuiet tells whether the balancer has had its time and no request is in progress or came lately.
+func (s *stopper) isQuiet(started time.Time) bool {
+	now := time.Now()
+	return now.Sub(started) >= balancerWait && s.running.Load() == 0 &&
+		now.Sub(time.Unix(0, s.lastSeen.Load())) >= quietTime
+}
+
+// wait returns when a planned stop that has begun is complete.
+func (s *stopper) wait(ctx context.Context) {
+	if !s.isStopping() {
+		return
+	}
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/replica/pace.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// paceWeight is the weight of a new sample in the estimate of a target's pace.
+	paceWeight = 0.3
+	// paceHalfLife is the time in which an estimate moves half of the way back to that of the target's peers. A target
+	// that was slow gets a trial again after a few of them.
+	paceHalfLife = 1500 * time.Millisecond
+	// loadLifetime is the time for which a target's report of its load is used.
+	loadLifetime = 250 * time.Millisecond
+	// stuckFactor times the usual time is the age at which an unanswered attempt shows that the target has paused.
+	stuckFactor = 2
+	// failureAvoidance is the time for which a target is avoided after one failure; it doubles with each further one.
+	failureAvoidance = 200 * time.Millisecond
+	maxAvoidance     = 3 * time.Second
+)
+
+// Pace is what this host knows about one target from its own attempts of the last seconds. Unlike Evidence it forgets
+// within seconds, so that it follows targets which pause or turn slow for a short time.
+type Pace struct {
+	starts     []time.Duration // of the attempts in flight, the oldest first
+	estimate   time.Duration
+	sampled    time.Duration
+	failures   int
+	avoidUntil time.Duration
+	// queued and slots come from the target's last report; reported is its time.
+	queued, slots int
+	reported      time.Duration
+}
+
+// Start counts an attempt as in flight.
+func (p *Pace) Start(now time.Duration) { p.starts = append(p.starts, now) }
+
+// Forget takes an attempt back that says nothing about the target.
+func (p *Pace) Forget(started time.Duration) {
+	if at := slices.Index(p.starts, started); at >= 0 {
+		p.starts = slices.Delete(p.starts, at, at+1)
+	}
+}
+
+// Succeed takes the end of an attempt that was answered. usual is the estimate for the target's peers.
+func (p *Pace) Succeed(now, started, usual time.Duration) {
+	p.Forget(started)
+	p.failures, p.avoidUntil = 0, 0
+	before := p.Estimate(now, usual)
+	p.estimate = before + time.Duration(paceWeight*float64(now-started-before))
+	p.sampled = now
+}
+
+// GiveUp takes the end of an attempt that was not answered in the time since its start.
+func (p *Pace) GiveUp(now, started, usual time.Duration) {
+	p.Forget(started)
+	if before := p.Estimate(now, usual); now-started > before {
+		p.estimate, p.sampled = before+time.Duration(paceWeight*float64(now-started-before)), now
+	}
+}
+
+// Fail takes the end of an attempt that failed, so that the target is avoided for a time.
+func (p *Pace) Fail(now, started time.Duration) {
+	p.Forget(started)
+	p.avoidUntil = now + min(failureAvoidance<<min(p.failures, 8), maxAvoidance)
+	p.failures++
+}
+
+// Report takes a target's report of its own load: requests running and waiting, and slots.
+func (p *Pace) Report(now time.Duration, queued, slots int) {
+	p.queued, p.slots, p.reported = queued, slots, now
+}
+
+// Estimate returns the expected time of an attempt at an idle target. usual is the estimate for the target's peers.
+func (p *Pace) Estimate(now, usual time.Duration) time.Duration {
+	if p.estimate == 0 {
+		return usual
+	}
+	fade := math.Exp2(-float64(now-p.sampled) / float64(paceHalfLife))
+	return usual + time.Duration(fade*float64(p.estimate-usual))
+}
+
+// InFlight returns the number of this host's attempts at the target.
+func (p *Pace) InFlight() int { return len(p.starts) }
+
+// Avoid tells whether the target failed a short time ago.
+func (p *Pace) Avoid(now time.Duration) bool { return now < p.avoidUntil }
+
+// AvoidUntil returns the time until which the target is avoided.
+func (p *Pace) AvoidUntil() time.Duration { return p.avoidUntil }
+
+// Cost returns the expected time of another attempt at the target with the given number of slots.
+func (p *Pace) Cost(now, usual time.Duration, slots int) time.Duration {
+	estimate := p.Estimate(now, usual)
+	queued := len(p.starts)
+	if now-p.reported < loadLifetime && p.slots > 0 {
+		queued, slots = max(queued, p.queued), p.slots
+	}
+	cost := estimate + estimate*time.Duration(queued)/time.Duration(2*max(1, slots))
+	if over := queued + 1 - slots; over > 0 {
+		cost += estimate * time.Duration(over) / time.Duration(max(1, slots))
+	}
+	if len(p.starts) > 0 {
+		if age := now - p.starts[0]; age > stuckFactor*estimate {
+			cost += age
+		}
+	}
+	return cost
+}
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -50,7 +50,7 @@
 func (m *Machine) trySend(now time.Duration, index int, p *part) {
 	kind := p.nextKind
 	what := &m.round.snapshot.Parts[index]
-	if len(m.attempts) >= m.MaxAttempts() || (kind != First && m.targetLost) {
+	if len(m.attempts) >= m.MaxAttempts() || m.isSpent(p) || (kind != First && m.targetLost) {
 		m.unplan(p)
 		return
 	}
@@ -68,13 +68,29 @@
 	m.attempts = append(m.attempts, attemptState{Attempt: a, open: true})
 	m.uncertain++
 	p.add(id, target)
+	p.mayHaveRun++
 	m.actions = append(m.actions, Action{Type: Send, Attempt: a, What: what})
 	m.unplan(p)
-	if p.open < maxOpen && !m.cfg.Suspect && len(what.Replicas) > len(p.tried) {
+	if p.open < maxOpen && m.mayHedge(p) && len(what.Replicas) > len(p.tried) {
 		m.plan(p, now+m.picker.HedgeDelay(what), Hedge)
 	}
 }
 
+// isSpent tells whether no further attempt at the part may run.
+func (m *Machine) isSpent(p *part) bool {
+	return m.cfg.AttemptsPerPart > 0 && p.mayHaveRun >= m.cfg.AttemptsPerPart
+}
+
+func (m *Machine) mayHedge(p *part) bool { return !m.cfg.Suspect && !m.cfg.Once && !m.isSpent(p) }
+
+// notRun takes an attempt out of those that may have run.
+func (m *Machine) notRun(attempt int) {
+	a := &m.attempts[attempt]
+	if a.Round == m.round.number {
+		m.round.parts[a.Part].mayHaveRun--
+	}
+}
+
 // postpone plans an attempt that could not be sent now for later.
 func (m *Machine) postpone(now time.Duration, p *part, what *snapshot.Part, kind Kind, verdict Verdict) {
 	if kind.beside() {
@@ -100,6 +116,7 @@
 	m.unplan(p)
 	switch {
 	case m.cfg.Suspect || m.targetLost || failure == FailedDeadline || failure == FailedLate:
+	case m.cfg.Once && !failure.NotRun() || m.isSpent(p):
 	case p.exhausted(what.Replicas):
 		m.wantRestart(now)
 	case failure.replaceable():
--- a/internal/scatter/machine.go
+++ b/internal/scatter/machine.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
-	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
 const (
@@ -79,7 +78,7 @@
 
 // Reply takes the reply to an attempt. A reply that comes twice, after the query's end or for a part that is already
 // answered is dropped.
-func (m *Machine) Reply(now time.Duration, attempt int, reply *targetclient.SearchReply) []Action {
+func (m *Machine) Reply(now time.Duration, attempt int, reply Reply) []Action {
 	m.actions = m.actions[:0]
 	m.replyToFirst(attempt, reply)
 	a, p := m.close(attempt)
@@ -101,9 +100,10 @@
 	m.actions = m.actions[:0]
 	if failure.NotRun() && attempt >= 0 && attempt < len(m.attempts) && m.attempts[attempt].open {
 		m.uncertain--
+		m.notRun(attempt)
 	}
 	a, p := m.close(attempt)
-	if failure == FailedLost {
+	if failure == FailedLost && !m.cfg.RetryLost {
 		m.targetLost = true
 	}
 	if p == nil {
@@ -167,7 +167,7 @@
 }
 
 // replyToFirst keeps a reply that overtook its cancellation at the restart: the answer may still be the first round's.
-func (m *Machine) replyToFirst(attempt int, reply *targetclient.SearchReply) {
+func (m *Machine) replyToFirst(attempt int, reply Reply) {
 	if m.done || m.first == nil || attempt < 0 || attempt >= len(m.attempts) {
 		return
 	}
@@ -177,7 +177,7 @@
 	}
 }
 
-func (m *Machine) accept(now time.Duration, a *Attempt, p *part, reply *targetclient.SearchReply) {
+func (m *Machine) accept(now time.Duration, a *Attempt, p *part, reply Reply) {
 	m.round.store(a.Part, reply)
 	for p.open > 0 {
 		loser := p.running[0]
--- a/internal/scatter/result.go
+++ b/internal/scatter/result.go
@@ -13,7 +13,7 @@
 	Snapshot snapshot.Snapshot
 	Coverage coverage.Coverage
 	// Replies holds the reply that counts for each part of the snapshot, or nil.
-	Replies []*targetclient.SearchReply
+	Replies []Reply
 	// Execution states whether any attempt ran.
 	Execution fault.Execution
 	Restarted bool
@@ -28,7 +28,7 @@
 	}
 	result := Result{
 		Snapshot:  chosen.snapshot,
-		Replies:   make([]*targetclient.SearchReply, len(chosen.parts)),
+		Replies:   make([]Reply, len(chosen.parts)),
 		Execution: m.execution(),
 		Restarted: m.first != nil,
 	}
@@ -41,11 +41,11 @@
 	return result
 }
 
-// Hits returns the hits of each part that answered.
+// Hits returns the hits of each part that a search reply answered.
 func (r Result) Hits() [][]model.Hit {
 	lists := make([][]model.Hit, 0, len(r.Replies))
 	for _, reply := range r.Replies {
-		if reply != nil {
+		if reply, ok := reply.(*targetclient.SearchReply); ok {
 			lists = append(lists, reply.Hits)
 		}
 	}
--- a/internal/scatter/round.go
+++ b/internal/scatter/round.go
@@ -6,7 +6,6 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
-	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
 // maxOpen is the number of attempts at a part that run at once: one and its hedge.
@@ -26,11 +25,13 @@
 
 // part is the state of one shard.
 type part struct {
-	reply *targetclient.SearchReply
+	reply Reply
 	// running holds the ids of the open attempts.
 	running [maxOpen]int
 	open    int
 	tried   []trial
+	// mayHaveRun counts the attempts that are not known not to have run.
+	mayHaveRun int
 	// first is the room for the usual number of trials, without an allocation.
 	first [maxOpen]trial
 	// next is the time of the next planned attempt; 0 if there is none.
@@ -71,7 +72,7 @@
 }
 
 // store keeps the reply that counts for a part.
-func (r *round) store(index int, reply *targetclient.SearchReply) {
+func (r *round) store(index int, reply Reply) {
 	p := &r.parts[index]
 	p.reply = reply
 	p.next = 0
@@ -81,18 +82,7 @@
 }
 
 // matches tells whether a reply answers exactly the part that the snapshot names.
-func (r *round) matches(index int, reply *targetclient.SearchReply) bool {
-	what := &r.snapshot.Parts[index]
-	if reply.Index != what.Index || reply.Shard != what.ID || reply.Version != what.Version || reply.KeyRange != what.KeyRange {
-		return false
-	}
-	for i := range reply.Hits {
-		if reply.Hits[i].Index != what.Index {
-			return false
-		}
-	}
-	return true
-}
+func (r *round) matches(index int, reply Reply) bool { return reply.Answers(&r.snapshot.Parts[index]) }
 
 func (p *part) add(attempt int, target model.TargetID) {
 	p.running[p.open] = attempt
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -100,6 +100,12 @@
 	Newer(present snapshot.Snapshot) (snapshot.Snapshot, bool)
 }
 
+// Reply is a target's whole reply to one attempt.
+type Reply interface {
+	// Answers tells whether the reply answers exactly the part.
+	Answers(part *snapshot.Part) bool
+}
+
 // Config describes one query.
 type Config struct {
 	Snapshot snapshot.Snapshot
@@ -113,6 +119,13 @@
 	Deadline     time.Duration
 	// Suspect makes the query run alone: one attempt first, the other shards after its success, no hedge, no retry.
 	Suspect bool
+	// Once keeps the query from running more than once at a part: no hedge, and a further attempt only after a failure that
+	// proves the one before not run.
+	Once bool
+	// AttemptsPerPart bounds the attempts at one part that may have run; 0 means no bound of its own.
+	AttemptsPerPart int
+	// RetryLost allows extra attempts after a lost connection. The driver then finds requests that crash targets itself.
+	RetryLost bool
 }
 
 // Failure is the way in which an attempt failed.
--- a/internal/targetclient/targetclient.go
+++ b/internal/targetclient/targetclient.go
@@ -7,6 +7,7 @@
 	"errors"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
 )
 
 // SearchRequest asks a target for the hits of one shard at one version.
@@ -32,6 +33,19 @@
 	Hits []model.Hit `json:"hits"`
 }
 
+// Answers tells whether the reply answers exactly the part of a snapshot.
+func (r *SearchReply) Answers(part *snapshot.Part) bool {
+	if r.Index != part.Index || r.Shard != part.ID || r.Version != part.Version || r.KeyRange != part.KeyRange {
+		return false
+	}
+	for i := range r.Hits {
+		if r.Hits[i].Index != part.Index {
+			return false
+		}
+	}
+	return true
+}
+
 // ExecuteRequest asks a target to execute an operation.
 type ExecuteRequest struct {
 	Attempt    model.AttemptID `json:"attempt"`
