--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -20,6 +20,10 @@
 
 // Execute runs the gateway until SIGTERM or SIGINT.
 func (c *gatewayCommand) Execute([]string) error {
+	// The signals are caught before anything else, because their default is to end the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reloads := hangups(ctx)
 	path := c.Config
 	if path == "" {
 		path = os.Getenv(platform.SettingsPathVariable)
@@ -39,8 +43,6 @@
 		<-logEnded
 	}()
 	logger := newLineLogger(ring).With(zap.String("host", string(s.HostID)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return gateway.New(logger, s, func(observed gateway.StoreObserver) gateway.Platform {
 		return gateway.Platform{
 			Feed:      platform.NewStore(s.StoreAddress, observed),
@@ -50,7 +52,31 @@
 			Prefix:    platform.Prefix,
 			ReadyPath: platform.ReadyPath,
 		}
-	}).Run(ctx)
+	}).Run(ctx, gateway.Reload{
+		Signalled: reloads,
+		Load:      func() (gateway.Settings, error) { return gateway.LoadSettings(path) },
+	})
+}
+
+// hangups returns a channel that receives each SIGHUP until the context ends. Signals that come together count as one.
+func hangups(ctx context.Context) <-chan struct{} {
+	signals, asked := make(chan os.Signal, 1), make(chan struct{}, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-signals:
+				select {
+				case asked <- struct{}{}:
+				case <-ctx.Done():
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return asked
 }
 
 // newLineLogger returns a logger of one JSON object a line.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// SetBudget changes the bounds of extra attempts.
+func (e *Engine) SetBudget(ratio, slack float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cfg.ExtraRatio, e.cfg.ExtraSlack = ratio, slack
+	for _, s := range e.services {
+		hosts := s.hosts
+		s.hosts = 0 // makes the budget anew
+		s.resize(e.cfg, hosts)
+	}
+}
+
 // Wait returns when no attempt is under way any more. No request may start meanwhile.
 func (e *Engine) Wait() { e.tasks.Wait() }
 
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,395 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/registry"
+	"github.com/knapweedrouter/knapweedrouter/internal/routing"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+const ms = time.Millisecond
+
+// fleet is a fake exchange.Client. behave decides what becomes of an attempt.
+type fleet struct {
+	mu       sync.Mutex
+	behave   func(a *exchange.Attempt) (time.Duration, error)
+	arrivals []arrival
+}
+
+type arrival struct {
+	at       time.Time
+	id       string
+	target   model.TargetID
+	deadline time.Time
+	ran      bool
+}
+
+func (f *fleet) Do(ctx context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
+	took, err := f.behave(a)
+	f.mu.Lock()
+	f.arrivals = append(f.arrivals, arrival{time.Now(), a.Request.ID, a.Target, a.Deadline, !targetclient.IsNotRun(err)})
+	f.mu.Unlock()
+	timer := time.NewTimer(min(took, time.Until(a.Deadline)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, targetclient.ErrCancelled
+	}
+	if !time.Now().Before(a.Deadline) {
+		return nil, targetclient.ErrSilent
+	}
+	reply := &exchange.Reply{Status: http.StatusOK, Meaning: exchange.Meaning{Seal: string(a.Target)}}
+	if err != nil {
+		return reply, err
+	}
+	return reply, nil
+}
+
+// after returns a behaviour that answers after a time.
+func after(d time.Duration) func(*exchange.Attempt) (time.Duration, error) {
+	return func(*exchange.Attempt) (time.Duration, error) { return d, nil }
+}
+
+const replicas = 3
+
+func shardName(i int) model.ServiceID { return model.ServiceID(fmt.Sprintf("shard%02d", i)) }
+
+// targetsOf returns three targets of each service.
+func targetsOf(services ...model.ServiceID) []registry.Target {
+	var all []registry.Target
+	for _, service := range services {
+		for r := range replicas {
+			all = append(all, registry.Target{Registration: registry.Registration{
+				Target: model.TargetID(fmt.Sprintf("%s-%d", service, r)), Service: service, Address: "10.0.0.1:80",
+				DataCentre: model.DataCentreID(fmt.Sprint("dc", r)), Slots: 2,
+			}})
+		}
+	}
+	return all
+}
+
+func gatherRoute(shards int) routing.Route {
+	r := routing.Route{
+		Name: "gather", Host: "h", Prefix: "/g/", Repeatable: true, Timeout: time.Second, Objective: 100 * ms, MaxAttempts: 2,
+		TopRecords: 5, MinCoverage: 0.75,
+	}
+	for i := range shards {
+		r.Shards = append(r.Shards, shardName(i))
+	}
+	return r
+}
+
+func singleRoute(repeatable bool) routing.Route {
+	return routing.Route{
+		Name: "single", Host: "h", Prefix: "/s/", Repeatable: repeatable, Timeout: time.Second, Objective: 400 * ms, MaxAttempts: 2,
+		Split: []routing.WeightedService{{Service: "single", Weight: 1}},
+	}
+}
+
+func newEngine(t require.TestingT, client exchange.Client, hosts int, shards int, routes ...routing.Route) (*Engine, *routing.Table) {
+	services := []routing.Service{{ID: "single"}}
+	names := []model.ServiceID{"single"}
+	for i := range shards {
+		services = append(services, routing.Service{ID: shardName(i)})
+		names = append(names, shardName(i))
+	}
+	table, err := routing.New(1, routes, services, routing.ClientLimits{})
+	require.NoError(t, err)
+	e := New(Config{Client: client, Host: "host", DataCentre: "dc0", ExtraRatio: 0.2, ExtraSlack: 104})
+	e.SetWorld(NewWorld(table, targetsOf(names...), nil, hosts))
+	return e, table
+}
+
+func request(id string, route *routing.Route) Request {
+	now := time.Now()
+	return Request{Request: &exchange.Request{ID: id, Method: "GET", URI: "/"}, Route: route, Arrived: now, Deadline: now.Add(route.Timeout)}
+}
+
+// TestPartialAnswerLeavesBeforeTheObjective guards against an answer that waits for one dark shard until it is late: a late
+// answer is worth a tenth, one without a shard of ten four fifths.
+func TestPartialAnswerLeavesBeforeTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: func(a *exchange.Attempt) (time.Duration, error) {
+			if a.Target[:7] == "shard03" {
+				return time.Hour, nil
+			}
+			return 10 * ms, nil
+		}}
+		e, table := newEngine(t, f, 1, 10, gatherRoute(10))
+		started := time.Now()
+		outcome := e.Do(t.Context(), request("a", &table.Routes[0]))
+		require.Nil(t, outcome.Err)
+		require.Equal(t, 9, countReplies(outcome.Replies))
+		require.Nil(t, outcome.Replies[3])
+		require.Equal(t, 85*ms, time.Since(started))
+		e.Wait()
+	})
+}
+
+// TestAnswerBelowTheMinimumIsNoSuccess guards against a success with fewer shards than the operator allows.
+func TestAnswerBelowTheMinimumIsNoSuccess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: func(a *exchange.Attempt) (time.Duration, error) {
+			if a.Target < "shard03" {
+				return time.Hour, nil
+			}
+			return 10 * ms, nil
+		}}
+		e, table := newEngine(t, f, 1, 10, gatherRoute(10))
+		started := time.Now()
+		outcome := e.Do(t.Context(), request("a", &table.Routes[0]))
+		require.Equal(t, fault.CoverageBelowMinimum, outcome.Err.Kind)
+		require.Equal(t, http.StatusGatewayTimeout, outcome.Err.HTTPStatus())
+		require.Equal(t, time.Second, time.Since(started), "the route's timeout ends the request")
+		e.Wait()
+	})
+}
+
+// TestSurplusRunsEndSoonAfterTheAnswer guards against targets that work on a request whose answer has left or whose caller
+// has gone.
+func TestSurplusRunsEndSoonAfterTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: after(time.Hour)}
+		e, table := newEngine(t, f, 1, 10, gatherRoute(10))
+		ctx, leave := context.WithTimeout(t.Context(), 20*ms)
+		defer leave()
+		started := time.Now()
+		outcome := e.Do(ctx, request("a", &table.Routes[0]))
+		require.Equal(t, 20*ms, time.Since(started))
+		require.NotNil(t, outcome.Err)
+		e.Wait()
+		require.LessOrEqual(t, time.Since(started), 20*ms+linger)
+	})
+}
+
+// TestRequestThatMayNotRepeatRunsOnce guards against a second run, whatever targets do, and against a refusal that says
+// "not run" after a run.
+func TestRequestThatMayNotRepeatRunsOnce(t *testing.T) {
+	failures := []error{
+		nil, targetclient.ErrNotSent, targetclient.ErrShed, targetclient.ErrDraining, targetclient.ErrLost, targetclient.ErrSilent,
+		targetclient.ErrMismatch, exchange.ErrFailure,
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			f := &fleet{}
+			f.behave = func(*exchange.Attempt) (time.Duration, error) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return time.Duration(rng.IntN(1500)) * ms, failures[rng.IntN(len(failures))]
+			}
+			e, table := newEngine(t, f, 1, 0, singleRoute(false))
+			outcomes := map[string]Outcome{}
+			for i := range 20 {
+				id := fmt.Sprint(i)
+				outcomes[id] = e.Do(t.Context(), request(id, &table.Routes[0]))
+			}
+			e.Wait()
+			runs := map[string]int{}
+			for _, a := range f.arrivals {
+				if a.ran {
+					runs[a.id]++
+				}
+			}
+			for id, outcome := range outcomes {
+				require.LessOrEqual(t, runs[id], 1, "request %s ran again", id)
+				if outcome.Err != nil && outcome.Err.Execution == fault.NotRun {
+					require.Zero(t, runs[id], "request %s ran although its refusal says that it did not", id)
+					require.Positive(t, outcome.Err.RetryAfter())
+				}
+				if runs[id] > 0 && outcome.Err != nil {
+					require.NotContains(t, []int{408, 421, 429, 503}, outcome.Err.HTTPStatus())
+				}
+			}
+		})
+	})
+}
+
+// TestExtraArrivalsStayWithinTheBudget guards against hedges and retries that load a service beyond the shared budget, on a
+// bad day and when the number of hosts changes.
+func TestExtraArrivalsStayWithinTheBudget(t *testing.T) {
+	for _, hosts := range []int{1, 12} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{behave: func(*exchange.Attempt) (time.Duration, error) {
+					switch rand.IntN(3) {
+					case 0:
+						return 2 * ms, targetclient.ErrShed
+					case 1:
+						return 2 * ms, targetclient.ErrLost
+					}
+					return 300 * ms, nil
+				}}
+				e, table := newEngine(t, f, hosts, 4, gatherRoute(4))
+				const requests = 400
+				var waiting sync.WaitGroup
+				for i := range requests {
+					waiting.Go(func() { e.Do(t.Context(), request(fmt.Sprint(i), &table.Routes[0])) })
+					time.Sleep(25 * ms)
+				}
+				waiting.Wait()
+				e.Wait()
+				perShard := map[string]int{}
+				for _, a := range f.arrivals {
+					perShard[string(a.target[:7])]++
+				}
+				for shard, arrivals := range perShard {
+					require.LessOrEqual(t, arrivals-requests, int(0.2*requests+104/float64(hosts)), shard)
+				}
+			})
+		})
+	}
+}
+
+// TestNobodyRunsARequestOnMoreTargetsThanAllowed guards the operator's bound on targets for each shard.
+func TestNobodyRunsARequestOnMoreTargetsThanAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: func(*exchange.Attempt) (time.Duration, error) { return 5 * ms, targetclient.ErrLost }}
+		e, table := newEngine(t, f, 1, 4, gatherRoute(4))
+		e.Do(t.Context(), request("a", &table.Routes[0]))
+		e.Wait()
+		runs := map[string]int{}
+		for _, a := range f.arrivals {
+			runs[string(a.target[:7])]++
+		}
+		for shard, count := range runs {
+			require.LessOrEqual(t, count, 2, shard)
+		}
+	})
+}
+
+// TestNoWorkForTargetsThatLeft guards against a retry or hedge that is sent to a target which drains, or whose data centre
+// is out, because the request began before.
+func TestNoWorkForTargetsThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: func(*exchange.Attempt) (time.Duration, error) { return 50 * ms, targetclient.ErrLost }}
+		e, table := newEngine(t, f, 1, 4, gatherRoute(4))
+		go func() {
+			time.Sleep(10 * ms)
+			targets := targetsOf("single", shardName(0), shardName(1), shardName(2), shardName(3))
+			for i := range targets {
+				targets[i].Draining = targets[i].DataCentre == "dc0"
+			}
+			e.SetWorld(NewWorld(table, targets, map[model.DataCentreID]bool{"dc1": true}, 1))
+		}()
+		started := time.Now()
+		e.Do(t.Context(), request("a", &table.Routes[0]))
+		e.Wait()
+		for _, a := range f.arrivals {
+			if a.at.Sub(started) > 10*ms {
+				require.Equal(t, byte('2'), a.target[len(a.target)-1], "%s got work after it left", a.target)
+			}
+		}
+	})
+}
+
+// TestColdTargetBearsTheSumOfAllHosts guards against hosts that each keep within a cold target's rate and exceed it together.
+func TestColdTargetBearsTheSumOfAllHosts(t *testing.T) {
+	for _, rate := range []float64{0.5, 3, 40} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{behave: after(ms)}
+				const hosts = 12
+				route := singleRoute(true)
+				table, err := routing.New(1, []routing.Route{route}, []routing.Service{{ID: "single", ColdRate: rate}}, routing.ClientLimits{})
+				require.NoError(t, err)
+				targets := targetsOf("single")
+				for i := range targets {
+					targets[i].ColdUntil = time.Minute
+				}
+				var engines []*Engine
+				for h := range hosts {
+					e := New(Config{Client: f, Host: model.HostID(fmt.Sprint("host", h)), ExtraRatio: 0.2, ExtraSlack: 104})
+					e.SetWorld(NewWorld(table, targets, nil, hosts))
+					engines = append(engines, e)
+				}
+				var waiting sync.WaitGroup
+				for i := range 600 {
+					for _, e := range engines {
+						waiting.Go(func() { e.Do(t.Context(), request(fmt.Sprint(i), &table.Routes[0])) })
+					}
+					time.Sleep(10 * ms)
+				}
+				waiting.Wait()
+				requireRate(t, f.arrivals, int(rate*1.5+5))
+			})
+		})
+	}
+}
+
+// requireRate checks every window of one second at every target.
+func requireRate(t *testing.T, arrivals []arrival, limit int) {
+	for i, first := range arrivals {
+		count := 0
+		for _, a := range arrivals[i:] {
+			if a.at.Sub(first.at) >= time.Second {
+				break
+			}
+			if a.target == first.target {
+				count++
+			}
+		}
+		require.LessOrEqual(t, count, limit, "requests to cold %s in one second", first.target)
+	}
+}
+
+// TestRequestWithoutTargetIsRefusedAtOnce guards against a caller that waits for its deadline although nobody could serve it.
+func TestRequestWithoutTargetIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: after(ms)}
+		e, table := newEngine(t, f, 1, 0, singleRoute(false))
+		e.SetWorld(NewWorld(table, nil, nil, 1))
+		started := time.Now()
+		outcome := e.Do(t.Context(), request("a", &table.Routes[0]))
+		require.Zero(t, time.Since(started))
+		require.Equal(t, fault.NotRun, outcome.Err.Execution)
+		require.Positive(t, outcome.Err.RetryAfter())
+		require.Equal(t, http.StatusServiceUnavailable, outcome.Err.HTTPStatus())
+	})
+}
+
+// TestPausedTargetIsLeftAlone guards against requests that queue at a target which has stopped answering while its peers
+// answer.
+func TestPausedTargetIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		paused := func() bool { return time.Since(start) > time.Second }
+		f := &fleet{behave: func(a *exchange.Attempt) (time.Duration, error) {
+			if a.Target == "single-1" && paused() {
+				return 700 * ms, nil
+			}
+			return 20 * ms, nil
+		}}
+		e, table := newEngine(t, f, 1, 0, singleRoute(true))
+		var waiting sync.WaitGroup
+		for i := range 200 {
+			waiting.Go(func() { e.Do(t.Context(), request(fmt.Sprint(i), &table.Routes[0])) })
+			time.Sleep(10 * ms)
+		}
+		waiting.Wait()
+		e.Wait()
+		during := 0
+		for _, a := range f.arrivals {
+			if a.target == "single-1" && a.at.Sub(start) > time.Second {
+				during++
+			}
+		}
+		require.Less(t, during, 12, "attempts at the paused target")
+	})
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -272,7 +272,7 @@
 	}
 	switch {
 	case r.gone:
-		return Outcome{Err: fault.Wrap(ctx.Err(), fault.Unavailable, result.Execution, "repeat the request", "the caller has gone")}
+		return Outcome{Err: broken(context.Cause(ctx), result.Execution)}
 	case answered >= least:
 		return Outcome{Replies: replies}
 	case len(r.request.Route.Shards) == 0 && r.failure != nil:
@@ -281,6 +281,14 @@
 	return Outcome{Err: r.refusal(result, answered)}
 }
 
+// broken returns the answer of a request that was ended from outside: its caller has gone, or the host stops.
+func broken(cause error, execution fault.Execution) *fault.Error {
+	if execution == fault.NotRun {
+		return fault.Wrap(cause, fault.Overloaded, fault.NotRun, "repeat the request", "broken off").WithRetryAfter(minRetryAfter)
+	}
+	return fault.Wrap(cause, fault.TargetFailed, execution, "repeat the request if it may run twice", "broken off")
+}
+
 func (r *run) refusal(result scatter.Result, answered int) *fault.Error {
 	after := max(minRetryAfter, time.Duration(retryAfterShare*float64(r.objective())))
 	switch {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -47,11 +47,16 @@
 	dialect CallerDialect
 	engine  *forward.Engine
 	observe *observer
+	stopper *stopper
 }
 
 // ServeHTTP implements http.Handler.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if err := f.stopper.refusal(); err != nil {
+		f.refuse(w, r, err)
+		return
+	}
 	world := f.engine.World()
 	if world == nil {
 		f.refuse(w, r, fault.New(fault.NotReady, fault.NotRun, "use another host",
@@ -81,16 +86,24 @@
 		Arrived:  arrived,
 		Deadline: arrived.Add(f.allowed(r.Header, route) - answerMargin),
 	}
-	f.answer(w, r, request, f.engine.Do(f.callerContext(r, route), request))
+	ctx, cancel := f.callerContext(r, route)
+	defer cancel()
+	f.answer(w, r, request, f.engine.Do(ctx, request))
 }
 
-// callerContext returns the context that ends when the caller goes away. A request that may not be repeated goes on to its
+// callerContext returns the context that ends when the caller goes away or the host stops. A request that may not be repeated goes on to its
 // end: its target may complete it anyway, and breaking it off would leave the outcome unknown.
-func (f *front) callerContext(r *http.Request, route *routing.Route) context.Context {
-	if route.Repeatable {
-		return r.Context()
+func (f *front) callerContext(r *http.Request, route *routing.Route) (context.Context, func()) {
+	parent := r.Context()
+	if !route.Repeatable {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(f.stopper.final, func() { cancel(errStopping) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
 	}
-	return context.WithoutCancel(r.Context())
 }
 
 // allowed returns the time within which the caller gets its final answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,15 +76,21 @@
 		engine:   engine,
 		state:    newState(logger, p.Decoder, engine, s.HostID),
 		observe:  observe,
-		stopper:  newStopper(time.Duration(s.StopSeconds * float64(time.Second))),
+		stopper:  newStopper(s.StopSeconds),
 	}
 }
 
 // StoreObserver is told of each call to the store.
 type StoreObserver func(call, result string, took time.Duration)
 
+// Reload tells Run when and how to read the settings again.
+type Reload struct {
+	Signalled <-chan struct{}
+	Load      func() (Settings, error)
+}
+
 // Run serves until the context ends, and then stops as planned: it finishes the work that it has.
-func (g *Gateway) Run(ctx context.Context) error {
+func (g *Gateway) Run(ctx context.Context, reload Reload) error {
 	callers, err := net.Listen("tcp", g.settings.CallerListen)
 	if err != nil {
 		return eris.Wrapf(err, "caller listener: choose another caller_listen than %s", g.settings.CallerListen)
@@ -115,6 +121,7 @@
 	duties.Go(func() { registered.run(ctx) })
 	duties.Go(func() { g.state.run(ctx) })
 	duties.Go(func() { g.summarize(ctx) })
+	duties.Go(func() { g.reload(ctx, reload.Signalled, reload.Load) })
 	duties.Go(func() { g.serve(probeServer, probes) })
 	duties.Go(func() { g.serve(operatorServer, operators) })
 	duties.Go(func() {
@@ -142,7 +149,7 @@
 
 func (g *Gateway) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           g.stopper.wrap(&front{dialect: g.platform.Callers, engine: g.engine, observe: g.observe}),
+		Handler:           g.stopper.wrap(&front{dialect: g.platform.Callers, engine: g.engine, observe: g.observe, stopper: g.stopper}),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -187,7 +187,9 @@
 // refused notes a refusal that no target was asked for. Refusals of the engine have a trace already.
 func (o *observer) refused(id, host, path string, err *fault.Error) {
 	o.metrics.GetOrCreateCounter(`knapweedrouter_refusals_total{kind="` + string(err.Kind) + `",execution="` + string(err.Execution) + `"}`).Inc()
-	if err.Kind != fault.NotFound && err.Kind != fault.NotReady && err.Kind != fault.TooLarge && err.Kind != fault.BadRequest {
+	switch err.Kind {
+	case fault.NotFound, fault.NotReady, fault.Stopping, fault.TooLarge, fault.BadRequest:
+	default:
 		return
 	}
 	if o.lines.Allow() {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 )
 
 const (
@@ -16,27 +17,55 @@
 	balancerWait = 2500 * time.Millisecond
 	// stopMargin is the time before the process would be killed at which it ends by itself.
 	stopMargin = 400 * time.Millisecond
-	stopPoll   = 20 * time.Millisecond
+	// refuseMargin is the time before that end from which new requests are refused: most would not be answered in time.
+	refuseMargin = 1200 * time.Millisecond
+	// finalMargin is the time before that end at which requests in progress get their final answer.
+	finalMargin = 200 * time.Millisecond
+	stopPoll    = 20 * time.Millisecond
 	// quietTime is the time without a request after which no caller is taken to use this host any more.
 	quietTime = 600 * time.Millisecond
 )
 
 // stopper carries out a planned stop, which cuts no request.
 type stopper struct {
-	// allowed is the time from the signal to the kill.
-	allowed  time.Duration
+	// allowed is the time in ns from the signal to the kill.
+	allowed  atomic.Int64
 	stopping atomic.Bool
+	refusing atomic.Bool
 	running  atomic.Int64
 	lastSeen atomic.Int64 // in ns since the epoch
 	done     chan struct{}
+	// final ends with the cause errStopping when requests in progress have to be answered.
+	final    context.Context
+	endFinal context.CancelCauseFunc
 }
 
-func newStopper(allowed time.Duration) *stopper {
-	return &stopper{allowed: allowed, done: make(chan struct{})}
+// errStopping is the refusal of a host that stops.
+var errStopping = fault.New(fault.Stopping, fault.NotRun, "use another host", "this host is stopping").WithRetryAfter(minRetry)
+
+// minRetry is the time after which another host can take a request.
+const minRetry = 20 * time.Millisecond
+
+func newStopper(seconds float64) *stopper {
+	s := &stopper{done: make(chan struct{})}
+	s.final, s.endFinal = context.WithCancelCause(context.Background())
+	s.setAllowed(seconds)
+	return s
 }
 
+// setAllowed sets the time from the signal to the kill.
+func (s *stopper) setAllowed(seconds float64) { s.allowed.Store(int64(seconds * float64(time.Second))) }
+
 func (s *stopper) isStopping() bool { return s.stopping.Load() }
 
+// refusal returns the reason why this host takes no new request, or nil.
+func (s *stopper) refusal() *fault.Error {
+	if s.refusing.Load() {
+		return errStopping
+	}
+	return nil
+}
+
 // wrap counts requests. While the host stops each answer closes its connection, so that no caller sends a request over a
 // connection that this host is about to close.
 func (s *stopper) wrap(next http.Handler) http.Handler {
@@ -73,7 +102,11 @@
 	s.lastSeen.Store(started.UnixNano())
 	s.stopping.Store(true)
 	logger.Info("planned stop: not ready", zap.Int64("in_progress", s.running.Load()))
-	latest := started.Add(s.allowed - stopMargin)
+	latest := started.Add(time.Duration(s.allowed.Load()) - stopMargin)
+	refuse := time.AfterFunc(time.Until(latest.Add(-refuseMargin)), func() { s.refusing.Store(true) })
+	defer refuse.Stop()
+	final := time.AfterFunc(time.Until(latest.Add(-finalMargin)), func() { s.endFinal(errStopping) })
+	defer final.Stop()
 	for time.Now().Before(latest) && !s.isQuiet(started) && ctx.Err() == nil {
 		_ = ctxtime.Sleep(ctx, stopPoll) // the loop ends with the context
 	}
