Notice the return of a silent store within a second

Ruled out: registration of targets (they were back 0.2 s after the listing). Change: first calls to a store that failed have timeouts of 0.7 to 2.5 s and do not wait for changes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,8 +20,10 @@
 	changeWait = 4 * time.Second
 	// callGrace is the time after the wait within which the store's answer arrives.
 	callGrace = 700 * time.Millisecond
-	// listTimeout bounds a listing.
-	listTimeout = 3 * time.Second
+	// minCallTimeout and maxCallTimeout bound a listing and the first call after a failure. They double with each second failure: a
+	// short one notices soon that a silent store has returned, and a long one is answered by a slow store.
+	minCallTimeout = 700 * time.Millisecond
+	maxCallTimeout = 2500 * time.Millisecond
 	// gatherTime is the pause after changes. Changes that come together then cost one call.
 	gatherTime = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
@@ -74,9 +76,13 @@
 	if !f.listed {
 		return 0, f.list(ctx)
 	}
-	bounded, cancel := context.WithTimeout(ctx, changeWait+callGrace)
+	wait, timeout := changeWait, changeWait+callGrace
+	if f.failures > 0 {
+		wait, timeout = 0, f.callTimeout()
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	changes, revision, err := f.feed.Changes(bounded, f.prefix, f.revision, changeWait)
+	changes, revision, err := f.feed.Changes(bounded, f.prefix, f.revision, wait)
 	if errors.Is(err, store.ErrHistoryLost) {
 		f.logger.Warn("store history lost: listing again", zap.Uint64("after", uint64(f.revision)))
 		f.listed = false
@@ -94,8 +100,13 @@
 	return gatherTime, nil
 }
 
+// callTimeout returns the time for a call that the store answers at once.
+func (f *Follower) callTimeout() time.Duration {
+	return min(minCallTimeout<<min(f.failures/2, 8), maxCallTimeout)
+}
+
 func (f *Follower) list(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	bounded, cancel := context.WithTimeout(ctx, f.callTimeout())
 	defer cancel()
 	entries, revision, err := f.feed.List(bounded, f.prefix)
 	if err != nil {
