--- a/internal/replica/pace.go
+++ b/internal/replica/pace.go
@@ -16,6 +16,12 @@
 	loadLifetime = 250 * time.Millisecond
 	// stuckFactor times the usual time is the age at which an unanswered attempt shows that the target has paused.
 	stuckFactor = 2
+	// failureWeight is the weight of a new outcome in the share of attempts that fail, and failureHalfLife the time in which
+	// that share halves without attempts.
+	failureWeight   = 0.25
+	failureHalfLife = 2 * time.Second
+	// failureCost times the usual time is what a failed attempt costs: the refusal, a retry elsewhere, and its budget.
+	failureCost = 6
 	// failureAvoidance is the time for which a target is avoided after one failure; it doubles with each further one.
 	failureAvoidance = 200 * time.Millisecond
 	maxAvoidance     = 3 * time.Second
@@ -28,6 +34,9 @@
 	estimate   time.Duration
 	sampled    time.Duration
 	failures   int
+	// failing is the share of recent attempts that failed; judged is the time of its last change.
+	failing float64
+	judged  time.Duration
 	avoidUntil time.Duration
 	// queued and slots come from the target's last report; reported is its time.
 	queued, slots int
@@ -48,6 +57,7 @@
 func (p *Pace) Succeed(now, started, usual time.Duration) {
 	p.Forget(started)
 	p.failures, p.avoidUntil = 0, 0
+	p.judge(now, 0)
 	before := p.Estimate(now, usual)
 	p.estimate = before + time.Duration(paceWeight*float64(now-started-before))
 	p.sampled = now
@@ -64,10 +74,23 @@
 // Fail takes the end of an attempt that failed, so that the target is avoided for a time.
 func (p *Pace) Fail(now, started time.Duration) {
 	p.Forget(started)
+	p.judge(now, 1)
 	p.avoidUntil = now + min(failureAvoidance<<min(p.failures, 8), maxAvoidance)
 	p.failures++
 }
 
+// judge takes an outcome: 1 for a failure, 0 for an answer.
+func (p *Pace) judge(now time.Duration, outcome float64) {
+	p.failing = p.Failing(now)
+	p.failing += failureWeight * (outcome - p.failing)
+	p.judged = now
+}
+
+// Failing returns the share of recent attempts that failed, from 0 to 1.
+func (p *Pace) Failing(now time.Duration) float64 {
+	return p.failing * math.Exp2(-float64(now-p.judged)/float64(failureHalfLife))
+}
+
 // Report takes a target's report of its own load: requests running and waiting, and slots.
 func (p *Pace) Report(now time.Duration, queued, slots int) {
 	p.queued, p.slots, p.reported = queued, slots, now
@@ -107,5 +130,5 @@
 			cost += age
 		}
 	}
-	return cost
+	return cost + time.Duration(p.Failing(now)*failureCost*float64(estimate))
 }
