--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,308 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+// plain is a Dialect with headers of its own.
+type plain struct{}
+
+func (plain) Prepare(h http.Header, a *Attempt) {
+	h.Set("X-Id", a.Request.ID)
+	h.Set("X-Target", string(a.Target))
+}
+
+func (plain) Interpret(status int, h http.Header) Meaning {
+	return Meaning{
+		RequestID: h.Get("X-Id"), Seal: h.Get("X-Seal"), NotRun: h.Get("X-Not-Run") != "", WrongTarget: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// script is a target that answers the n-th request of a connection as told. The connection ends after the last.
+type script func(conn net.Conn, request *http.Request, n int) (more bool)
+
+// serve starts a target and returns its address and the number of its connections.
+func serve(t *testing.T, answer script) (string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	var connections atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil || !answer(conn, request, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), &connections
+}
+
+func reply(id, body string, headers ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s-%s\r\nContent-Length: %d\r\n%s\r\n%s",
+		id, id, len(body), strings.Join(headers, ""), body)
+}
+
+func attemptAt(address, id string) *Attempt {
+	return &Attempt{
+		Request:  &Request{ID: id, Method: "GET", URI: "/p?q=1", Host: "h.example"},
+		Target:   model.TargetID("target-" + address),
+		Address:  address,
+		Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func do(t *testing.T, p *Pool, address, id string) (*Reply, error) {
+	t.Helper()
+	return p.Do(t.Context(), attemptAt(address, id))
+}
+
+// TestConnectionIsReused guards against a connection for each attempt.
+func TestConnectionIsReused(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), "body"))
+		return true
+	})
+	p := NewPool(plain{})
+	for i := range 5 {
+		got, err := do(t, p, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, "body", string(got.Body))
+	}
+	require.EqualValues(t, 1, connections.Load())
+}
+
+// TestReplyOfAnotherRequestIsReadPast guards against an answer that belongs to another request: a target sends a second
+// answer late, where the next one is due.
+func TestReplyOfAnotherRequestIsReadPast(t *testing.T) {
+	address, _ := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		id := r.Header.Get("X-Id")
+		if n > 0 {
+			io.WriteString(conn, reply("0", "the first again"))
+		}
+		io.WriteString(conn, reply(id, "body of "+id))
+		return true
+	})
+	p := NewPool(plain{})
+	for i := range 3 {
+		got, err := do(t, p, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprintf("body of %d", i), string(got.Body))
+	}
+}
+
+// TestExtraBytesEndTheConnection guards against bytes after a whole answer that would be read as part of the next.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), "body")+"garbage")
+		return true
+	})
+	p := NewPool(plain{})
+	for i := range 2 {
+		_, err := do(t, p, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond) // lets bytes that follow the answer arrive
+	}
+	require.EqualValues(t, 2, connections.Load())
+}
+
+// TestBrokenRepliesAreNoAnswers guards against answers that end early, that are no answer, or that lack the target's seal.
+func TestBrokenRepliesAreNoAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		err    error
+	}{
+		"truncated body":   {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 10\r\n\r\nhalf", targetclient.ErrLost},
+		"truncated chunks": {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", targetclient.ErrLost},
+		"no answer":        {"", targetclient.ErrLost},
+		"other bytes":      {"\x00\x01\x02 garbage\r\n\r\n", targetclient.ErrLost},
+		"no seal":          {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", targetclient.ErrMismatch},
+		"another request":  {"HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", targetclient.ErrMismatch},
+		"own failure":      {"HTTP/1.1 500 Internal Server Error\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", ErrFailure},
+		"shed":             {"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", targetclient.ErrShed},
+		"plain 503":        {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", ErrFailure},
+		"another target":   {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", targetclient.ErrDraining},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				io.WriteString(conn, test.answer)
+				return false
+			})
+			_, err := do(t, NewPool(plain{}), address, "a")
+			require.ErrorIs(t, err, test.err)
+			require.Equal(t, test.err == targetclient.ErrShed || test.err == targetclient.ErrDraining, targetclient.IsNotRun(err))
+		})
+	}
+}
+
+// TestUnframedReplyIsWholeOnlyWithItsEnd guards against taking a reset answer without a length for a whole one.
+func TestUnframedReplyIsWholeOnlyWithItsEnd(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		address, _ := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Seal: s\r\n\r\nbody")
+			if reset {
+				time.Sleep(20 * time.Millisecond) // lets the bytes arrive before the reset discards them
+				conn.(*net.TCPConn).SetLinger(0)
+			}
+			return false
+		})
+		got, err := do(t, NewPool(plain{}), address, "a")
+		if reset {
+			require.ErrorIs(t, err, targetclient.ErrLost)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "body", string(got.Body))
+	}
+}
+
+// TestEarlyAnswerToALongBody guards against the rest of a body being taken for the next request: the target answers before
+// it has read the body, and keeps the connection.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), "early"))
+		time.Sleep(50 * time.Millisecond)
+		return r.ContentLength <= 0
+	})
+	p := NewPool(plain{})
+	a := attemptAt(address, "a")
+	a.Request.Method, a.Request.Body = "POST", make([]byte, 16<<20)
+	got, err := p.Do(t.Context(), a)
+	require.NoError(t, err)
+	require.Equal(t, "early", string(got.Body))
+	_, err = do(t, p, address, "b")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, connections.Load())
+}
+
+// TestSilentConnectionEndsWithTheDeadline guards against an attempt that waits for a connection which has fallen silent, and
+// against further attempts on idle connections of the same age.
+func TestSilentConnectionEndsWithTheDeadline(t *testing.T) {
+	var silent atomic.Bool
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		if silent.Load() && n > 0 {
+			time.Sleep(time.Second)
+			return false
+		}
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), ""))
+		return true
+	})
+	p := NewPool(plain{})
+	_, err := do(t, p, address, "a")
+	require.NoError(t, err)
+	silent.Store(true)
+	a := attemptAt(address, "b")
+	a.Deadline = time.Now().Add(50 * time.Millisecond)
+	_, err = p.Do(t.Context(), a)
+	require.ErrorIs(t, err, targetclient.ErrSilent)
+	_, err = do(t, p, address, "c")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, connections.Load())
+}
+
+// TestCancelEndsTheExchange guards against work for a caller that has gone.
+func TestCancelEndsTheExchange(t *testing.T) {
+	ended := make(chan struct{})
+	address, _ := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := conn.Read(make([]byte, 1))
+		require.Error(t, err)
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	_, err := NewPool(plain{}).Do(ctx, attemptAt(address, "a"))
+	require.ErrorIs(t, err, targetclient.ErrCancelled)
+	<-ended
+}
+
+// TestConnectionsAreBounded guards a target's limit on connections.
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		<-release
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), ""))
+		return true
+	})
+	p := NewPool(plain{})
+	results := make(chan error, 5)
+	for i := range 5 {
+		go func() {
+			a := attemptAt(address, fmt.Sprint(i))
+			a.MaxConnections = 2
+			_, err := p.Do(context.Background(), a)
+			results <- err
+		}()
+	}
+	for range 3 {
+		require.ErrorIs(t, <-results, targetclient.ErrNotSent)
+	}
+	close(release)
+	for range 2 {
+		require.NoError(t, <-results)
+	}
+	require.EqualValues(t, 2, connections.Load())
+}
+
+// TestConnectionThatTheTargetMayCloseIsNotUsed guards against a request that crosses the close of an idle connection.
+func TestConnectionThatTheTargetMayCloseIsNotUsed(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), "", "Keep-Alive: timeout=1\r\n"))
+		return true
+	})
+	p := NewPool(plain{})
+	_, err := do(t, p, address, "a")
+	require.NoError(t, err)
+	time.Sleep(400 * time.Millisecond)
+	_, err = do(t, p, address, "b")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, connections.Load())
+}
+
+// TestRequestIsPassedOnUnchanged guards method, path, query, body and headers.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	bodies := make(chan string, 1)
+	address, _ := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		body, _ := io.ReadAll(r.Body)
+		seen <- r
+		bodies <- string(body)
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), ""))
+		return true
+	})
+	a := attemptAt(address, "a")
+	a.Request.Method, a.Request.URI, a.Request.Body = "POST", "/a%2Fb//c?x=%20&y", []byte("body\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+	a.Request.Header = http.Header{"X-Kept": {"1", "2"}}
+	_, err := NewPool(plain{}).Do(t.Context(), a)
+	require.NoError(t, err)
+	r := <-seen
+	require.Equal(t, []string{"POST", "/a%2Fb//c?x=%20&y", "h.example"}, []string{r.Method, r.RequestURI, r.Host})
+	require.Equal(t, string(a.Request.Body), <-bodies)
+	require.Equal(t, []string{"1", "2"}, r.Header["X-Kept"])
+	require.Equal(t, http.Header{"X-Kept": {"1", "2"}}, a.Request.Header, "the headers are shared by attempts")
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,90 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+func report(incarnation, sequence uint64, draining bool) Registration {
+	return Registration{
+		Target: "t", Service: "s", Address: "10.0.0.1:80", DataCentre: "dc", Slots: 2, Draining: draining,
+		Incarnation: model.Incarnation(incarnation), Sequence: sequence,
+	}
+}
+
+// TestOlderReportChangesNothing guards against a late "ready" that takes back a drain, and against the counts of a run under
+// a reused id being compared with those of the former one.
+func TestOlderReportChangesNothing(t *testing.T) {
+	r := New()
+	require.Equal(t, Added, r.Put(0, report(5, 3, false)))
+	require.Equal(t, Drained, r.Put(0, report(5, 5, true)))
+	require.Equal(t, Outdated, r.Put(0, report(5, 4, false)))
+	require.Equal(t, Updated, r.Put(0, report(5, 6, false)))
+	require.True(t, r.Targets()[0].Draining, "a leaving target does not come back within one run")
+	require.Equal(t, Outdated, r.Put(0, report(4, 99, false)))
+	require.Equal(t, Updated, r.Put(0, report(6, 1, false)))
+	require.False(t, r.Targets()[0].Draining, "a new run has its own counts")
+}
+
+// TestRemovedTargetDoesNotComeBackByALateReport guards against work for a target that has left.
+func TestRemovedTargetDoesNotComeBackByALateReport(t *testing.T) {
+	r := New()
+	r.Put(0, report(5, 3, false))
+	require.Equal(t, Removed, r.Delete(time.Second, "t"))
+	require.Equal(t, Outdated, r.Put(time.Second, report(5, 3, false)))
+	require.Empty(t, r.Targets())
+	require.Equal(t, Added, r.Put(time.Second, report(5, 4, false)))
+}
+
+// TestLapsedRegistrationsAreHeld guards against the loss of live targets whose registrations lapsed while the store was
+// away, and against keeping those that do not renew them.
+func TestLapsedRegistrationsAreHeld(t *testing.T) {
+	r := New()
+	r.Put(0, report(5, 3, false))
+	other := report(5, 3, false)
+	other.Target = "gone"
+	r.Put(0, other)
+	r.Away()
+	require.Empty(t, r.Expire(time.Hour))
+	returned := time.Hour
+	r.Returned(returned)
+	require.Equal(t, Held, r.Delete(returned, "t"))
+	require.Equal(t, Held, r.Delete(returned, "gone"))
+	require.Equal(t, Updated, r.Put(returned+time.Second, report(5, 4, false)))
+	require.Empty(t, r.Expire(returned+2*time.Second))
+	require.Equal(t, []model.TargetID{"gone"}, r.Expire(returned+lapseGrace))
+	require.Len(t, r.Targets(), 1)
+	require.Equal(t, Removed, r.Delete(returned+lapseGrace, "t"), "later ends take effect at once")
+}
+
+// TestDrainingTargetIsNotHeld guards against work for a target that has announced its end and ends during an outage.
+func TestDrainingTargetIsNotHeld(t *testing.T) {
+	r := New()
+	r.Put(0, report(5, 3, true))
+	r.Away()
+	require.Equal(t, Removed, r.Delete(0, "t"))
+}
+
+// TestRegistryAgreesWithTheLatestEvidence compares the registry with the latest report by incarnation and sequence, in any
+// order of arrival.
+func TestRegistryAgreesWithTheLatestEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Registration {
+			return report(rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 5).Draw(t, "sequence"), false)
+		}), 1, 20).Draw(t, "reports")
+		latest := reports[0]
+		for _, one := range reports {
+			r.Put(0, one)
+			if isNewer(one, latest.Incarnation, latest.Sequence) {
+				latest = one
+			}
+		}
+		require.Equal(t, latest, r.Targets()[0].Registration)
+	})
+}
--- a/internal/replica/pace.go
+++ b/internal/replica/pace.go
@@ -30,13 +30,13 @@
 // Pace is what this host knows about one target from its own attempts of the last seconds. Unlike Evidence it forgets
 // within seconds, so that it follows targets which pause or turn slow for a short time.
 type Pace struct {
-	starts     []time.Duration // of the attempts in flight, the oldest first
-	estimate   time.Duration
-	sampled    time.Duration
-	failures   int
+	starts   []time.Duration // of the attempts in flight, the oldest first
+	estimate time.Duration
+	sampled  time.Duration
+	failures int
 	// failing is the share of recent attempts that failed; judged is the time of its last change.
-	failing float64
-	judged  time.Duration
+	failing    float64
+	judged     time.Duration
 	avoidUntil time.Duration
 	// queued and slots come from the target's last report; reported is its time.
 	queued, slots int
