Follow the store through a few relays of each data centre

Ruled out: longer waits alone (each event still wakes every host). Change: up to four hosts of a data centre hold slots in the store under leases and follow it; the others pull from them by the store's revisions, and follow the store themselves when no relay answers. Relays count the hosts, so that budgets are divided without a registration of each host.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -43,7 +43,7 @@
 		<-logEnded
 	}()
 	logger := newLineLogger(ring).With(zap.String("host", string(s.HostID)))
-	return gateway.New(logger, s, func(observed gateway.StoreObserver) gateway.Platform {
+	g, err := gateway.New(logger, s, func(observed gateway.StoreObserver) gateway.Platform {
 		return gateway.Platform{
 			Feed:      platform.NewStore(s.StoreAddress, observed),
 			Decoder:   platform.Documents{},
@@ -52,7 +52,11 @@
 			Prefix:    platform.Prefix,
 			ReadyPath: platform.ReadyPath,
 		}
-	}).Run(ctx, gateway.Reload{
+	})
+	if err != nil {
+		return err
+	}
+	return g.Run(ctx, gateway.Reload{
 		Signalled: reloads,
 		Load:      func() (gateway.Settings, error) { return gateway.LoadSettings(path) },
 	})
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,4 +1,4 @@
-// Package follow keeps a copy of the keys of a store.Feed up to date: it lists them, waits for changes, and starts again
+// Package follow keeps a copy of the keys of a store up to date: it lists them, waits for changes, and starts again
 // where the history is lost.
 package follow
 
@@ -42,10 +42,16 @@
 	Regained()
 }
 
+// Source is where a follower reads. store.Feed describes the methods.
+type Source interface {
+	List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error)
+	Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error)
+}
+
 // Follower follows one range of keys.
 type Follower struct {
 	logger *zap.Logger
-	feed   store.Feed
+	source Source
 	prefix string
 	sink   Sink
 
@@ -56,8 +62,8 @@
 }
 
 // New returns a follower of the keys with the prefix.
-func New(logger *zap.Logger, feed store.Feed, prefix string, sink Sink) *Follower {
-	return &Follower{logger: logger, feed: feed, prefix: prefix, sink: sink}
+func New(logger *zap.Logger, source Source, prefix string, sink Sink) *Follower {
+	return &Follower{logger: logger, source: source, prefix: prefix, sink: sink}
 }
 
 // Run follows until the context ends.
@@ -82,7 +88,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	changes, revision, err := f.feed.Changes(bounded, f.prefix, f.revision, wait)
+	changes, revision, err := f.source.Changes(bounded, f.prefix, f.revision, wait)
 	if errors.Is(err, store.ErrHistoryLost) {
 		f.logger.Warn("store history lost: listing again", zap.Uint64("after", uint64(f.revision)))
 		f.listed = false
@@ -108,7 +114,7 @@
 func (f *Follower) list(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, f.callTimeout())
 	defer cancel()
-	entries, revision, err := f.feed.List(bounded, f.prefix)
+	entries, revision, err := f.source.List(bounded, f.prefix)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -13,9 +13,8 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
-// feed is a fake store.Feed. Only the calls of a follower are implemented.
+// feed is a fake Source.
 type feed struct {
-	store.Feed
 	mu        sync.Mutex
 	entries   map[string]store.Entry
 	changes   []store.Change
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
 // Package gateway wires one host that passes opaque requests on by the routes of an outside configuration: listeners,
-// engine, copy of the store, registration of the host, planned stop.
+// engine, copy of the store, relay of the store, planned stop.
 package gateway
 
 import (
@@ -19,6 +19,8 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/follow"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
@@ -31,6 +33,10 @@
 	// maxHeaderBytes bounds the memory for headers.
 	maxHeaderBytes = 64 << 10
 	probeTimeout   = 2 * time.Second
+	// peerSilence is the time without a sign of life after which a connection to another host is replaced.
+	peerSilence = 1500 * time.Millisecond
+	// eagerLinkMbps is the bandwidth from which a host claims the duty of a relay before others.
+	eagerLinkMbps = 100
 )
 
 // Platform holds what translates between the project's model and the outside.
@@ -53,10 +59,12 @@
 	state    *state
 	observe  *observer
 	stopper  *stopper
+	peers    *peer.FrameTransport
+	relay    *relay.Relay
 }
 
 // New returns a gateway that has not started. platform is called once with the observer of store calls.
-func New(logger *zap.Logger, s Settings, platform func(StoreObserver) Platform) *Gateway {
+func New(logger *zap.Logger, s Settings, platform func(StoreObserver) Platform) (*Gateway, error) {
 	observe := newObserver(logger)
 	p := platform(observe.storeCall)
 	pool := exchange.NewPool(p.Targets)
@@ -68,16 +76,38 @@
 		ExtraSlack: s.ExtraSlack,
 		Observer:   observe,
 	})
+	incarnation := model.Incarnation(time.Now().UnixNano())
+	peers, err := peer.New(logger, peer.Config{
+		Listen:  s.PeerListen,
+		Self:    peer.Sender{Host: s.HostID, Incarnation: incarnation},
+		Keys:    [][]byte{[]byte(s.PeerKey)},
+		Network: peer.TCP{},
+		Silence: peerSilence,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "peer transport")
+	}
+	relays := relay.New(logger, relay.Config{
+		Feed:             p.Feed,
+		Transport:        peers,
+		Host:             s.HostID,
+		Address:          s.PeerListen,
+		DataCentre:       s.DataCentre,
+		Eager:            s.LinkMbps >= eagerLinkMbps,
+		OlderIncarnation: func(known model.Incarnation) { peers.SetIncarnation(known + 1) },
+	})
 	return &Gateway{
 		logger:   logger,
 		settings: s,
 		platform: p,
 		pool:     pool,
 		engine:   engine,
-		state:    newState(logger, p.Decoder, engine, s.HostID),
+		state:    newState(logger, p.Decoder, engine, relays.Hosts),
 		observe:  observe,
 		stopper:  newStopper(s.StopSeconds),
-	}
+		peers:    peers,
+		relay:    relays,
+	}, nil
 }
 
 // StoreObserver is told of each call to the store.
@@ -110,15 +140,10 @@
 	callerServer := g.callerServer()
 	probeServer := &http.Server{Handler: g.probeHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
 	operatorServer := &http.Server{Handler: g.operatorHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
-	follower := follow.New(g.logger, g.platform.Feed, g.platform.Prefix, g.state)
-	registered := presence{
-		logger: g.logger,
-		feed:   g.platform.Feed,
-		host:   g.settings.HostID,
-		record: hostRecord{DataCentre: g.settings.DataCentre, Incarnation: model.Incarnation(time.Now().UnixNano())},
-	}
+	follower := follow.New(g.logger, g.relay, g.platform.Prefix, sinks{g.relay, g.state})
 	duties.Go(func() { follower.Run(ctx) })
-	duties.Go(func() { registered.run(ctx) })
+	duties.Go(func() { g.relay.Run(ctx) })
+	duties.Go(func() { g.servePeers(ctx) })
 	duties.Go(func() { g.state.run(ctx) })
 	duties.Go(func() { g.summarize(ctx) })
 	duties.Go(func() { g.reload(ctx, reload.Signalled, reload.Load) })
@@ -157,6 +182,43 @@
 	}
 }
 
+func (g *Gateway) servePeers(ctx context.Context) {
+	if err := g.peers.Run(ctx); err != nil && ctx.Err() == nil {
+		g.logger.Error("peer listener ended", zap.String("address", g.settings.PeerListen), zap.Error(err))
+	}
+}
+
+// sinks hands what the follower learns to several sinks in turn.
+type sinks []follow.Sink
+
+// Reset implements follow.Sink.
+func (s sinks) Reset(entries []store.Entry) {
+	for _, sink := range s {
+		sink.Reset(entries)
+	}
+}
+
+// Apply implements follow.Sink.
+func (s sinks) Apply(changes []store.Change) {
+	for _, sink := range s {
+		sink.Apply(changes)
+	}
+}
+
+// Lost implements follow.Sink.
+func (s sinks) Lost(err error) {
+	for _, sink := range s {
+		sink.Lost(err)
+	}
+}
+
+// Regained implements follow.Sink.
+func (s sinks) Regained() {
+	for _, sink := range s {
+		sink.Regained()
+	}
+}
+
 func (g *Gateway) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		g.logger.Error("listener ended", zap.String("address", listener.Addr().String()), zap.Error(err))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -11,6 +11,9 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/strictjson"
 )
 
+// minPeerKey is the least length of the key of the hosts.
+const minPeerKey = 16
+
 // Settings are the settings of a gateway. docs/settings.md lists them.
 type Settings struct {
 	// HostID names the host; it is the same over restarts and different for every host.
@@ -21,6 +24,12 @@
 	CallerListen   string `json:"caller_listen"`
 	ReadyListen    string `json:"ready_listen"`
 	OperatorListen string `json:"operator_listen"`
+	// PeerListen is the IP:port address at which other hosts reach this one.
+	PeerListen string `json:"peer_listen"`
+	// PeerKey authenticates the frames between hosts; all hosts of a deployment have the same.
+	PeerKey string `json:"peer_key"`
+	// LinkMbps is the bandwidth of the host's link. Hosts with a fast one claim the duty of a relay first.
+	LinkMbps float64 `json:"link_mbps"`
 	// StoreAddress is the IP:port address of the store.
 	StoreAddress string `json:"store_address"`
 	// ExtraRatio and ExtraSlack bound the extra attempts at a service in ExtraWindowSeconds, summed over all hosts: the
@@ -62,7 +71,8 @@
 		}
 	}
 	for field, value := range map[string]string{
-		"caller_listen": s.CallerListen, "ready_listen": s.ReadyListen, "operator_listen": s.OperatorListen, "store_address": s.StoreAddress,
+		"caller_listen": s.CallerListen, "ready_listen": s.ReadyListen, "operator_listen": s.OperatorListen,
+		"peer_listen": s.PeerListen, "store_address": s.StoreAddress,
 	} {
 		if _, err := netip.ParseAddrPort(value); err != nil {
 			add(field, value, "IP:port", fmt.Sprintf("name an address: %v", err))
@@ -73,6 +83,9 @@
 			add(field, value, "0 or more", "use a number that is not negative")
 		}
 	}
+	if len(s.PeerKey) < minPeerKey {
+		add("peer_key", "(secret)", fmt.Sprintf("%d characters or more", minPeerKey), "use a longer key, the same on all hosts")
+	}
 	if s.StopSeconds <= 0 {
 		add("stop_seconds", s.StopSeconds, "more than 0", "use the time that the process has to stop")
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,10 +15,7 @@
 )
 
 const (
-	// hostMemory is the time for which a host that has left still counts: what it spent of the shared budgets counts for
-	// as long.
-	hostMemory = 15 * time.Second
-	// expireInterval is the time between two looks at registrations that are held.
+	// expireInterval is the time between two looks at registrations that are held and at the number of hosts.
 	expireInterval = 250 * time.Millisecond
 )
 
@@ -48,35 +44,34 @@
 	Registration(id model.TargetID, value []byte) (registry.Registration, error)
 }
 
-// state is what the host believes: configuration, targets, data centres that are out, hosts. It implements follow.Sink.
+// state is what the host believes: configuration, targets, data centres that are out. It implements follow.Sink.
 type state struct {
 	logger  *zap.Logger
 	decoder Decoder
 	engine  *forward.Engine
 	start   time.Time
-	self    model.HostID
 
 	mu       sync.Mutex
 	table    *routing.Table
 	registry *registry.Registry
 	out      map[model.DataCentreID]bool
-	// hosts holds the time at which each host left, 0 for those that are there.
-	hosts map[model.HostID]time.Duration
-	away  bool
+	// hosts returns the number of hosts; inForce is the number that the engine has.
+	hosts   func() int
+	inForce int
+	away    bool
 	// confirmed is the time of the last answer of the store.
 	confirmed time.Duration
 }
 
-func newState(logger *zap.Logger, decoder Decoder, engine *forward.Engine, self model.HostID) *state {
+func newState(logger *zap.Logger, decoder Decoder, engine *forward.Engine, hosts func() int) *state {
 	return &state{
 		logger:   logger,
 		decoder:  decoder,
 		engine:   engine,
 		start:    time.Now(),
-		self:     self,
 		registry: registry.New(),
 		out:      map[model.DataCentreID]bool{},
-		hosts:    map[model.HostID]time.Duration{self: 0},
+		hosts:    hosts,
 	}
 }
 
@@ -87,27 +82,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := map[model.TargetID]bool{}
-	hosts := map[model.HostID]bool{s.self: true}
 	s.out = map[model.DataCentreID]bool{}
 	for _, entry := range entries {
 		if subject := s.decoder.Subject(entry.Key); subject.Kind == SubjectTarget {
 			targets[subject.Target] = true
 		}
-		if id, ok := hostOf(entry.Key); ok {
-			hosts[id] = true
-		}
 		s.put(entry)
 	}
 	for _, id := range s.registry.Missing(targets) {
 		s.deleteTarget(id, 0)
 	}
-	for id := range s.hosts {
-		if !hosts[id] {
-			s.hostLeft(id)
-		}
-	}
 	s.confirmed = s.now()
-	s.logger.Info("store listed", zap.Int("entries", len(entries)), zap.Int("targets", len(targets)), zap.Int("hosts", len(hosts)))
+	s.logger.Info("store listed", zap.Int("entries", len(entries)), zap.Int("targets", len(targets)))
 	s.publish()
 }
 
@@ -152,10 +138,6 @@
 		s.logger.Info("data centre out", zap.String("data_centre", string(subject.DataCentre)), revision(entry))
 	case SubjectTarget:
 		s.putTarget(subject.Target, entry)
-	default:
-		if id, ok := hostOf(entry.Key); ok {
-			s.hosts[id] = 0
-		}
 	}
 }
 
@@ -210,17 +192,6 @@
 		s.logger.Info("data centre in", zap.String("data_centre", string(subject.DataCentre)), revision(change.Entry))
 	case SubjectTable:
 		s.logger.Error("configuration removed from the store: the last one stays in force", revision(change.Entry))
-	default:
-		if id, ok := hostOf(change.Key); ok {
-			s.hostLeft(id)
-		}
-	}
-}
-
-// hostLeft notes that the registration of a host has ended.
-func (s *state) hostLeft(id model.HostID) {
-	if left, ok := s.hosts[id]; ok && left == 0 && id != s.self {
-		s.hosts[id] = max(1, s.now())
 	}
 }
 
@@ -229,7 +200,8 @@
 	if s.table == nil {
 		return
 	}
-	s.engine.SetWorld(forward.NewWorld(s.table, s.registry.Targets(), s.out, len(s.hosts)))
+	s.inForce = s.hosts()
+	s.engine.SetWorld(forward.NewWorld(s.table, s.registry.Targets(), s.out, s.inForce))
 }
 
 // expire ends what was held for a time.
@@ -241,14 +213,7 @@
 	for _, id := range gone {
 		s.logger.Info("target lapsed", zap.String("target", string(id)))
 	}
-	changed := len(gone) > 0
-	for id, left := range s.hosts {
-		if left > 0 && !s.away && now-left > hostMemory {
-			delete(s.hosts, id)
-			changed = true
-		}
-	}
-	if changed {
+	if hosts := s.hosts(); len(gone) > 0 || hosts != s.inForce {
 		s.publish()
 	}
 }
@@ -267,11 +232,4 @@
 	}
 }
 
-const hostPrefix = "hosts/"
-
-func hostOf(key string) (model.HostID, bool) {
-	id, ok := strings.CutPrefix(key, hostPrefix)
-	return model.HostID(id), ok
-}
-
 func revision(entry store.Entry) zap.Field { return zap.Uint64("revision", uint64(entry.Revision)) }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,218 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+const (
+	// replyGrace is the time after the wait of a pull within which the relay's reply arrives.
+	replyGrace = 600 * time.Millisecond
+	// aloneTime is the time without an answer from any relay after which a host follows the store itself. A random time as
+	// long spreads the hosts.
+	aloneTime = 1500 * time.Millisecond
+	// censusInterval is the time between two counts that relays send to each other.
+	censusInterval = 2 * time.Second
+)
+
+// errNoRelay means that no relay of any data centre has answered.
+var errNoRelay = fmt.Errorf("%w: no relay has answered", store.ErrUnavailable)
+
+// Config describes a host.
+type Config struct {
+	Feed      store.Feed
+	Transport peer.Transport
+	Host      model.HostID
+	// Address is where other hosts reach this one.
+	Address    string
+	DataCentre model.DataCentreID
+	// Eager hosts claim a free slot at once; the others leave it to them for some seconds.
+	Eager bool
+	// OlderIncarnation is called when other hosts know a later incarnation of this host.
+	OlderIncarnation func(known model.Incarnation)
+}
+
+// Relay is one host's part: the source of what it follows, and its slot. It implements the reading half of store.Feed.
+type Relay struct {
+	logger    *zap.Logger
+	cfg       Config
+	directory *directory
+	log       *changeLog
+	slot      *slotKeeper
+	// answered is the time of the last answer of a relay, in ns since the epoch; patience is added to aloneTime.
+	answered atomic.Int64
+	patience time.Duration
+}
+
+// New returns a relay that has not started, and registers its handlers with the transport.
+func New(logger *zap.Logger, cfg Config) *Relay {
+	self := record{Host: cfg.Host, Address: cfg.Address, DataCentre: cfg.DataCentre}
+	r := &Relay{
+		logger:    logger,
+		cfg:       cfg,
+		directory: newDirectory(self),
+		log:       newChangeLog(),
+		patience:  rand.N(aloneTime),
+	}
+	r.slot = newSlotKeeper(logger, cfg, self, r.directory)
+	r.answered.Store(time.Now().UnixNano())
+	cfg.Transport.Handle(kindPull, r.handlePull)
+	cfg.Transport.Handle(kindCensus, r.handleCensus)
+	return r
+}
+
+// Hosts returns the greatest number of hosts that may serve at present.
+func (r *Relay) Hosts() int { return r.directory.hosts(time.Now()) }
+
+// IsRelay tells whether this host follows the store itself.
+func (r *Relay) IsRelay() bool { return r.slot.isHeld() }
+
+// Run keeps a slot and tells the other relays how many hosts pull from this one, until the context ends.
+func (r *Relay) Run(ctx context.Context) {
+	go r.slot.run(ctx)
+	for ctxtime.Sleep(ctx, censusInterval) == nil {
+		r.sendCensus()
+	}
+}
+
+func (r *Relay) sendCensus() {
+	key, ok := r.directory.own()
+	if !ok || !r.IsRelay() {
+		return
+	}
+	now := time.Now()
+	message := census{Key: key, Hosts: r.directory.served(now)}
+	for _, other := range r.directory.relays(now) {
+		if err := r.cfg.Transport.Send(other.Address, kindCensus, message); err != nil {
+			r.logger.Debug("census not sent", zap.String("relay", string(other.Host)), zap.Error(err))
+		}
+	}
+}
+
+func (r *Relay) handleCensus(_ context.Context, _ peer.Sender, decode func(any) error) (any, error) {
+	var c census
+	if err := decode(&c); err != nil {
+		return nil, err
+	}
+	r.directory.take(c, time.Now())
+	return nil, nil
+}
+
+func (r *Relay) handlePull(ctx context.Context, from peer.Sender, decode func(any) error) (any, error) {
+	var p pull
+	if err := decode(&p); err != nil {
+		return nil, err
+	}
+	if !r.IsRelay() {
+		return pullReply{Status: pullAway}, nil
+	}
+	r.directory.pulled(from.Host, time.Now())
+	reply := r.log.answer(ctx, p)
+	reply.Hosts = r.Hosts()
+	return reply, nil
+}
+
+// Reset takes all entries that this host has learnt.
+func (r *Relay) Reset(entries []store.Entry) {
+	r.directory.reset(entries)
+	r.log.reset(entries)
+}
+
+// Apply takes changes that this host has learnt.
+func (r *Relay) Apply(changes []store.Change) {
+	r.directory.apply(changes)
+	r.log.apply(changes)
+}
+
+// Lost notes that neither a relay nor the store answers this host.
+func (r *Relay) Lost(error) { r.log.setAway(true) }
+
+// Regained notes that the source of this host answers again.
+func (r *Relay) Regained() { r.log.setAway(false) }
+
+// List returns all entries with the prefix: from the store if this host is a relay or no relay answers, else from a relay.
+func (r *Relay) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	if r.followsStore() {
+		entries, revision, err := r.cfg.Feed.List(ctx, prefix)
+		r.learnt(err)
+		return entries, revision, err
+	}
+	reply, err := r.ask(ctx, pull{})
+	return reply.Entries, reply.Revision, err
+}
+
+// Changes waits for changes after the revision, at the store or a relay.
+func (r *Relay) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
+	if r.followsStore() {
+		changes, revision, err := r.cfg.Feed.Changes(ctx, prefix, after, wait)
+		r.learnt(err)
+		return changes, revision, err
+	}
+	reply, err := r.ask(ctx, pull{After: after, Wait: wait})
+	return reply.Changes, reply.Revision, err
+}
+
+// followsStore tells whether the next call goes to the store.
+func (r *Relay) followsStore() bool {
+	if r.IsRelay() {
+		return true
+	}
+	alone := time.Since(time.Unix(0, r.answered.Load())) > aloneTime+r.patience
+	return alone && r.slot.hasLooked()
+}
+
+// learnt notes an answer of the store, which tells who the relays are: they are asked next.
+func (r *Relay) learnt(err error) {
+	if err == nil {
+		r.answered.Store(time.Now().UnixNano())
+	}
+}
+
+// ask pulls from the relays in turn until one answers.
+func (r *Relay) ask(ctx context.Context, p pull) (pullReply, error) {
+	for _, relay := range r.directory.relays(time.Now()) {
+		reply, err := r.call(ctx, relay, p)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			r.logger.Info("relay lost", zap.String("relay", string(relay.Host)), zap.Error(err))
+			r.directory.failed(relay.Host, time.Now())
+			continue
+		}
+		r.answered.Store(time.Now().UnixNano())
+		switch reply.Status {
+		case pullAway:
+			r.directory.failed(relay.Host, time.Now())
+			continue
+		case pullHistoryLost:
+			return pullReply{}, store.ErrHistoryLost
+		}
+		r.directory.tell(reply.Hosts, time.Now())
+		return reply, nil
+	}
+	return pullReply{}, errNoRelay
+}
+
+func (r *Relay) call(ctx context.Context, relay record, p pull) (pullReply, error) {
+	bounded, cancel := context.WithTimeout(ctx, p.Wait+replyGrace)
+	defer cancel()
+	var reply pullReply
+	err := r.cfg.Transport.Call(bounded, relay.Address, kindPull, p, &reply)
+	var older *peer.OlderIncarnationError
+	if errors.As(err, &older) {
+		r.cfg.OlderIncarnation(older.Known)
+	}
+	return reply, err
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,483 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/follow"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+// fakeStore is a store.Feed with leases. refuses tells which hosts it turns away.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision store.Revision
+	entries  map[string]store.Entry
+	leases   map[store.LeaseID]time.Time
+	owner    map[string]store.LeaseID
+	changes  []store.Change
+	changed  chan struct{}
+	reads    map[model.HostID]int
+	refuses  map[model.HostID]bool
+	next     store.LeaseID
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		revision: 1, entries: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, owner: map[string]store.LeaseID{},
+		changed: make(chan struct{}), reads: map[model.HostID]int{}, refuses: map[model.HostID]bool{},
+	}
+}
+
+// set writes or removes a key. It runs under the mutex.
+func (s *fakeStore) set(key string, value []byte, removed bool) {
+	s.revision++
+	entry := store.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = entry
+	if removed {
+		delete(s.entries, key)
+		delete(s.owner, key)
+	}
+	s.changes = append(s.changes, store.Change{Entry: entry, Removed: removed})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases. It runs under the mutex.
+func (s *fakeStore) expire() {
+	for lease, until := range s.leases {
+		if time.Now().Before(until) {
+			continue
+		}
+		delete(s.leases, lease)
+		for key, owner := range s.owner {
+			if owner == lease {
+				s.set(key, nil, true)
+			}
+		}
+	}
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(key, []byte(value), false)
+}
+
+// feedOf is the store as one host sees it.
+type feedOf struct {
+	*fakeStore
+	host model.HostID
+}
+
+func (f feedOf) begin(reads int) error {
+	f.mu.Lock()
+	f.expire()
+	f.reads[f.host] += reads
+	if f.refuses[f.host] {
+		f.mu.Unlock()
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (f feedOf) list(prefix string, reads int) ([]store.Entry, store.Revision, error) {
+	if err := f.begin(reads); err != nil {
+		return nil, 0, err
+	}
+	defer f.mu.Unlock()
+	var all []store.Entry
+	for key, entry := range f.entries {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, entry)
+		}
+	}
+	return all, f.revision, nil
+}
+
+func (f feedOf) List(_ context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	return f.list(prefix, 1)
+}
+
+func (f feedOf) Peek(_ context.Context, prefix string) ([]store.Entry, error) {
+	entries, _, err := f.list(prefix, 0)
+	return entries, err
+}
+
+func (f feedOf) Changes(ctx context.Context, _ string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
+	end := time.Now().Add(wait)
+	for first := 1; ; first = 0 {
+		if err := f.begin(first); err != nil {
+			return nil, 0, err
+		}
+		var found []store.Change
+		for _, change := range f.changes {
+			if change.Revision > after {
+				found = append(found, change)
+			}
+		}
+		revision, changed := f.revision, f.changed
+		f.mu.Unlock()
+		if len(found) > 0 || !time.Now().Before(end) {
+			return found, revision, nil
+		}
+		timer := time.NewTimer(min(time.Until(end), time.Second))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, 0, store.ErrUnavailable
+		}
+	}
+}
+
+func (f feedOf) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := f.begin(0); err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	f.next++
+	f.leases[f.next] = time.Now().Add(ttl)
+	return f.next, nil
+}
+
+func (f feedOf) Renew(_ context.Context, lease store.LeaseID) error {
+	if err := f.begin(0); err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	if _, ok := f.leases[lease]; !ok {
+		return store.ErrLeaseEnded
+	}
+	f.leases[lease] = time.Now().Add(slotTTL)
+	return nil
+}
+
+func (f feedOf) Put(_ context.Context, key string, value []byte, lease store.LeaseID) error {
+	if err := f.begin(0); err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	f.owner[key] = lease
+	f.set(key, value, false)
+	return nil
+}
+
+func (f feedOf) Create(ctx context.Context, key string, value []byte, lease store.LeaseID) error {
+	if err := f.begin(0); err != nil {
+		return err
+	}
+	_, taken := f.entries[key]
+	f.mu.Unlock()
+	if taken {
+		return store.ErrConflict
+	}
+	return f.Put(ctx, key, value, lease)
+}
+
+// network joins the transports of hosts. A host that is down neither sends nor answers.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*transport
+}
+
+type transport struct {
+	network  *network
+	self     peer.Sender
+	handlers map[peer.Kind]peer.Handler
+	down     bool
+}
+
+func (t *transport) Handle(kind peer.Kind, handler peer.Handler) { t.handlers[kind] = handler }
+
+func (t *transport) Send(address string, kind peer.Kind, body any) error {
+	go t.Call(context.Background(), address, kind, body, nil)
+	return nil
+}
+
+func (t *transport) Call(ctx context.Context, address string, kind peer.Kind, body, reply any) error {
+	t.network.mu.Lock()
+	other := t.network.hosts[address]
+	cut := other == nil || other.down || t.down
+	t.network.mu.Unlock()
+	if cut {
+		time.Sleep(10 * time.Millisecond)
+		return peer.ErrNotSent
+	}
+	encoded, err := msgpack.Marshal(body)
+	if err != nil {
+		return err
+	}
+	answers := make(chan any, 1)
+	go func() {
+		answer, _ := other.handlers[kind](ctx, t.self, func(into any) error { return msgpack.Unmarshal(encoded, into) })
+		answers <- answer
+	}()
+	answer, err := t.await(ctx, other, answers)
+	if err != nil || answer == nil {
+		return err
+	}
+	encoded, err = msgpack.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(encoded, reply)
+}
+
+// await returns the answer, or an error soon after the other host has ended.
+func (t *transport) await(ctx context.Context, other *transport, answers <-chan any) (any, error) {
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case answer := <-answers:
+			return answer, nil
+		case <-ctx.Done():
+			return nil, peer.ErrNoReply
+		case <-ticker.C:
+			t.network.mu.Lock()
+			down := other.down
+			t.network.mu.Unlock()
+			if down {
+				return nil, peer.ErrNoReply
+			}
+		}
+	}
+}
+
+// host is one host that follows by its relay. It is a follow.Sink.
+type host struct {
+	*Relay
+	transport *transport
+	stop      context.CancelFunc
+	mu        sync.Mutex
+	values    map[string]string
+}
+
+func (h *host) Reset(entries []store.Entry) {
+	h.Relay.Reset(entries)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, entry := range entries {
+		h.values[entry.Key] = string(entry.Value)
+	}
+}
+
+func (h *host) Apply(changes []store.Change) {
+	h.Relay.Apply(changes)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, change := range changes {
+		h.values[change.Key] = string(change.Value)
+	}
+}
+
+func (h *host) value(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.values[key]
+}
+
+type deployment struct {
+	t       *testing.T
+	store   *fakeStore
+	network *network
+	hosts   []*host
+}
+
+// deploy starts a number of hosts in each of two data centres and waits until they have found their places.
+func deploy(t *testing.T, perDataCentre int) *deployment {
+	d := &deployment{t: t, store: newFakeStore(), network: &network{hosts: map[string]*transport{}}}
+	for dc := range 2 {
+		for i := range perDataCentre {
+			d.start(fmt.Sprintf("h%d-%d", dc, i), fmt.Sprint("dc", dc), i < 2)
+		}
+	}
+	time.Sleep(12 * time.Second)
+	return d
+}
+
+func (d *deployment) start(id, dataCentre string, eager bool) *host {
+	name := model.HostID(id)
+	h := &host{
+		transport: &transport{network: d.network, self: peer.Sender{Host: name}, handlers: map[peer.Kind]peer.Handler{}},
+		values:    map[string]string{},
+	}
+	h.Relay = New(zap.NewNop(), Config{
+		Feed: feedOf{d.store, name}, Transport: h.transport, Host: name, Address: id, DataCentre: model.DataCentreID(dataCentre), Eager: eager,
+		OlderIncarnation: func(model.Incarnation) {},
+	})
+	d.network.mu.Lock()
+	d.network.hosts[id] = h.transport
+	d.network.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	go h.Run(ctx)
+	go follow.New(zap.NewNop(), h.Relay, "", h).Run(ctx)
+	d.hosts = append(d.hosts, h)
+	return h
+}
+
+// kill ends a host at once.
+func (d *deployment) kill(h *host) {
+	d.network.mu.Lock()
+	h.transport.down = true
+	d.network.mu.Unlock()
+	h.stop()
+}
+
+func (d *deployment) end() {
+	for _, h := range d.hosts {
+		d.kill(h)
+	}
+	time.Sleep(time.Minute) // lets the goroutines of the bubble end
+}
+
+func (d *deployment) relays() (held []*host) {
+	for _, h := range d.hosts {
+		if h.IsRelay() {
+			held = append(held, h)
+		}
+	}
+	return held
+}
+
+// requireLearnt writes a value and checks that every living host learns it in time.
+func (d *deployment) requireLearnt(value string, within time.Duration, except ...*host) {
+	d.t.Helper()
+	d.store.put("config", value)
+	time.Sleep(within)
+	for _, h := range d.hosts {
+		skip := h.transport.down
+		for _, other := range except {
+			skip = skip || h == other
+		}
+		if !skip {
+			require.Equal(d.t, value, h.value("config"), "%s after %v", h.cfg.Host, within)
+		}
+	}
+}
+
+func (d *deployment) totalReads() int {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	total := 0
+	for _, reads := range d.store.reads {
+		total += reads
+	}
+	return total
+}
+
+// TestCallsToTheStoreDoNotGrowWithTheFleet guards the price and the rates of the store, and the time in which a change is
+// known everywhere.
+func TestCallsToTheStoreDoNotGrowWithTheFleet(t *testing.T) {
+	reads := map[int]int{}
+	for _, size := range []int{10, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			d := deploy(t, size)
+			defer d.end()
+			require.Len(t, d.relays(), 2*slotsPerDataCentre)
+			before := d.totalReads()
+			for i := range 10 {
+				d.requireLearnt(fmt.Sprint(i), time.Second)
+			}
+			reads[size] = d.totalReads() - before
+			time.Sleep(2*censusMemory + 5*time.Second) // until moves between relays at the start are forgotten
+			for _, h := range d.hosts {
+				require.GreaterOrEqual(t, h.Hosts(), 2*size, "the budgets are divided among too few")
+				require.LessOrEqual(t, h.Hosts(), 2*size+2)
+			}
+		})
+	}
+	require.Equal(t, reads[10], reads[60])
+}
+
+// TestHostsMoveToAnotherRelay guards against hosts that miss changes because their relay was killed, or because the store
+// turns their relay away.
+func TestHostsMoveToAnotherRelay(t *testing.T) {
+	for _, refuse := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			d := deploy(t, 12)
+			defer d.end()
+			d.requireLearnt("before", time.Second)
+			victims := d.relays()[:3]
+			for _, victim := range victims {
+				if !refuse {
+					d.kill(victim)
+					continue
+				}
+				d.store.mu.Lock()
+				d.store.refuses[victim.cfg.Host] = true
+				d.store.mu.Unlock()
+			}
+			d.requireLearnt("after", 2500*time.Millisecond, victims...)
+			time.Sleep(slotTTL + 2*reluctantWait + 3*time.Second)
+			require.GreaterOrEqual(t, len(d.relays()), 2*slotsPerDataCentre, "the free slots are taken")
+		})
+	}
+}
+
+// TestHostWithoutAnyRelayFollowsTheStore guards against hosts that know nothing because every relay was killed at once.
+func TestHostWithoutAnyRelayFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		for _, relay := range d.relays() {
+			d.kill(relay)
+		}
+		d.requireLearnt("after", 2*aloneTime+3*time.Second)
+	})
+}
+
+// TestFleetThatRestartsKeepsItsRelays guards the time until a fleet serves again after all hosts were killed at once.
+func TestFleetThatRestartsKeepsItsRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		d.requireLearnt("before", time.Second)
+		former := d.hosts
+		d.hosts = nil
+		for _, h := range former {
+			d.kill(h)
+		}
+		for i, h := range former {
+			d.start(string(h.cfg.Host), string(h.cfg.DataCentre), i%8 < 2)
+		}
+		time.Sleep(2 * time.Second)
+		for _, h := range d.hosts {
+			require.Equal(t, "before", h.value("config"), h.cfg.Host)
+		}
+		require.Len(t, d.relays(), 2*slotsPerDataCentre)
+		for _, h := range former {
+			h.stop()
+		}
+	})
+}
+
+// TestPullBeyondTheLogListsAgain guards against a gap in the changes that a host learns.
+func TestPullBeyondTheLogListsAgain(t *testing.T) {
+	l := newChangeLog()
+	l.reset([]store.Entry{{Key: "a", Revision: 5}})
+	for i := range maxLogged + 10 {
+		l.apply([]store.Change{{Entry: store.Entry{Key: "a", Revision: store.Revision(6 + i)}}})
+	}
+	reply, _ := l.look(pull{After: 5})
+	require.Equal(t, pullHistoryLost, reply.Status)
+	reply, _ = l.look(pull{After: 16})
+	require.Equal(t, pullChanges, reply.Status)
+	require.Len(t, reply.Changes, maxLogged-1)
+	l.setAway(true)
+	reply, _ = l.look(pull{After: 16})
+	require.Equal(t, pullAway, reply.Status)
+}
--- /dev/null
+++ b/internal/relay/slot.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+const (
+	// slotsPerDataCentre is the number of relays of a data centre. Any of them may be lost; the others serve its hosts.
+	slotsPerDataCentre = 4
+	// slotTTL is the time after which the slot of a relay that does not renew its lease is free.
+	slotTTL     = 9 * time.Second
+	slotRenewal = slotTTL / 3
+	slotTimeout = time.Second
+	// eagerWait and reluctantWait bound the random time after which a host claims a free slot. The others wait for the eager
+	// hosts, and for the news of their claims, by eagerLead more.
+	eagerWait     = 150 * time.Millisecond
+	reluctantWait = 2 * time.Second
+	eagerLead     = time.Second
+	// lookInterval is the time between two looks at the slots.
+	lookInterval = time.Second
+)
+
+// slotKeeper claims and keeps one of the slots of this host's data centre.
+type slotKeeper struct {
+	logger    *zap.Logger
+	cfg       Config
+	self      record
+	directory *directory
+
+	held   atomic.Bool
+	looked atomic.Bool
+	key    string
+	lease  store.LeaseID
+}
+
+func newSlotKeeper(logger *zap.Logger, cfg Config, self record, d *directory) *slotKeeper {
+	return &slotKeeper{logger: logger, cfg: cfg, self: self, directory: d}
+}
+
+func (k *slotKeeper) isHeld() bool { return k.held.Load() }
+
+// hasLooked tells whether this host has had the chance to learn who the relays are.
+func (k *slotKeeper) hasLooked() bool { return k.looked.Load() }
+
+// run keeps a slot until the context ends.
+func (k *slotKeeper) run(ctx context.Context) {
+	for ctx.Err() == nil && !k.looked.Load() {
+		k.look(ctx)
+	}
+	for ctx.Err() == nil {
+		pause, err := k.step(ctx)
+		if err != nil && ctx.Err() == nil {
+			k.logger.Warn("relay slot not kept", zap.String("slot", k.key), zap.Error(err))
+			pause = lookInterval
+		}
+		_ = ctxtime.Sleep(ctx, pause) // the loop ends with the context
+	}
+}
+
+// look learns who the relays are. The answer may be seconds old. A host that held a slot before its restart takes it again.
+func (k *slotKeeper) look(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	entries, err := k.cfg.Feed.Peek(bounded, slotPrefix)
+	if err != nil {
+		k.logger.Warn("relays not known", zap.Error(err))
+		_ = ctxtime.Sleep(ctx, lookInterval/2) // the caller's loop ends with the context
+		return
+	}
+	k.directory.reset(entries)
+	k.looked.Store(true)
+}
+
+// step renews the slot or looks for a free one, and returns the pause before the next step.
+func (k *slotKeeper) step(ctx context.Context) (time.Duration, error) {
+	if k.held.Load() {
+		return slotRenewal, k.renew(ctx)
+	}
+	if key, ok := k.directory.own(); ok {
+		return slotRenewal, k.take(ctx, key, k.cfg.Feed.Put)
+	}
+	if len(k.directory.free(slotsPerDataCentre)) == 0 {
+		return lookInterval, nil
+	}
+	if k.cfg.Eager {
+		if err := ctxtime.Sleep(ctx, rand.N(eagerWait)); err != nil {
+			return 0, err
+		}
+		return k.claim(ctx)
+	}
+	if err := ctxtime.Sleep(ctx, eagerLead+rand.N(reluctantWait)); err != nil {
+		return 0, err
+	}
+	if len(k.directory.relays(time.Now())) == 0 {
+		k.look(ctx)
+	}
+	return k.claim(ctx)
+}
+
+// claim takes the first free slot that nobody has taken meanwhile.
+func (k *slotKeeper) claim(ctx context.Context) (time.Duration, error) {
+	for _, key := range k.directory.free(slotsPerDataCentre) {
+		err := k.take(ctx, key, k.cfg.Feed.Create)
+		if !errors.Is(err, store.ErrConflict) {
+			return slotRenewal, err
+		}
+	}
+	// All of them are taken: who holds them is learnt from the feed.
+	k.look(ctx)
+	return lookInterval, nil
+}
+
+// take writes the slot under a lease.
+func (k *slotKeeper) take(ctx context.Context, key string,
+	write func(ctx context.Context, key string, value []byte, lease store.LeaseID) error) error {
+	bounded, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	if k.lease == 0 {
+		lease, err := k.cfg.Feed.Grant(bounded, slotTTL)
+		if err != nil {
+			return err
+		}
+		k.lease = lease
+	}
+	value, err := json.Marshal(k.self)
+	if err != nil {
+		return err
+	}
+	if err := write(bounded, key, value, k.lease); err != nil {
+		if errors.Is(err, store.ErrLeaseEnded) {
+			k.lease = 0
+		}
+		return err
+	}
+	k.key = key
+	k.directory.apply([]store.Change{{Entry: store.Entry{Key: key, Value: value}}})
+	k.held.Store(true)
+	k.logger.Info("relay slot taken", zap.String("slot", key), zap.Uint64("lease", uint64(k.lease)))
+	return nil
+}
+
+// renew renews the lease. A host whose lease has ended, or whose slot another one holds, gives it up.
+func (k *slotKeeper) renew(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	err := k.cfg.Feed.Renew(bounded, k.lease)
+	own, ok := k.directory.own()
+	if errors.Is(err, store.ErrLeaseEnded) || ok && own != k.key {
+		k.lease = 0
+		k.held.Store(false)
+		k.logger.Info("relay slot given up", zap.String("slot", k.key), zap.String("holds", own))
+		return nil
+	}
+	return err
+}
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -28,6 +28,8 @@
 	// List returns the entries of the keys with the prefix, and the revision after which Changes continues. The entries
 	// are not a snapshot. Errors: ErrUnavailable.
 	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
+	// Peek is a List whose answer may be seconds old. It costs less. Errors: ErrUnavailable.
+	Peek(ctx context.Context, prefix string) ([]Entry, error)
 	// Changes waits for changes after the revision and returns them with the revision to continue from. It returns none
 	// when the wait has passed. Errors: ErrHistoryLost, ErrUnavailable.
 	Changes(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
@@ -37,4 +39,6 @@
 	Renew(ctx context.Context, lease LeaseID) error
 	// Put writes a key under a lease without a condition. Errors: ErrLeaseEnded, ErrUnavailable, ErrOutcomeUnknown.
 	Put(ctx context.Context, key string, value []byte, lease LeaseID) error
+	// Create writes a key under a lease if it has no value. Errors: ErrConflict and those of Put.
+	Create(ctx context.Context, key string, value []byte, lease LeaseID) error
 }
