Let the large hosts of a data centre carry out the requests of the small ones

Change: a host with a slow link hands requests to a large relay of its data centre, one hop; the sending host carries them out itself only if they surely were not sent. The generation of the hop keeps callers from meeting an older configuration. Three slots a data centre; changes gathered for 0.25 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,7 +25,7 @@
 	minCallTimeout = 700 * time.Millisecond
 	maxCallTimeout = 2500 * time.Millisecond
 	// gatherTime is the pause after changes. Changes that come together then cost one call.
-	gatherTime = 200 * time.Millisecond
+	gatherTime = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = time.Second
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,7 +24,7 @@
 	Host       model.HostID
 	DataCentre model.DataCentreID
 	// ExtraRatio and ExtraSlack bound the extra attempts at a service in a window, summed over all hosts: the ratio times
-	// the requests for it, and the slack. ExtraSlack is divided among the hosts.
+	// the requests for it, and the slack. Each host uses its part of ExtraSlack.
 	ExtraRatio, ExtraSlack float64
 	// Observer learns of the end of each request; nil means none.
 	Observer Observer
@@ -110,7 +110,7 @@
 		}
 	}
 	for _, s := range e.services {
-		s.resize(e.cfg, w.Hosts)
+		s.resize(e.cfg, w.Fleet.Part)
 	}
 }
 
@@ -120,9 +120,9 @@
 	defer e.mu.Unlock()
 	e.cfg.ExtraRatio, e.cfg.ExtraSlack = ratio, slack
 	for _, s := range e.services {
-		hosts := s.hosts
-		s.hosts = 0 // makes the budget anew
-		s.resize(e.cfg, hosts)
+		part := s.part
+		s.part = 0 // makes the budget anew
+		s.resize(e.cfg, part)
 	}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
+	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 	"github.com/knapweedrouter/knapweedrouter/internal/routing"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
@@ -65,6 +66,15 @@
 	return func(*exchange.Attempt) (time.Duration, error) { return d, nil }
 }
 
+// fleetOf returns a fleet whose hosts have equal parts.
+func fleetOf(hosts int) relay.Fleet {
+	f := relay.Fleet{Hosts: hosts, Part: 1 / float64(hosts)}
+	for i := range hosts {
+		f.Relays = append(f.Relays, model.HostID(fmt.Sprint("host", i)))
+	}
+	return f
+}
+
 const replicas = 3
 
 func shardName(i int) model.ServiceID { return model.ServiceID(fmt.Sprintf("shard%02d", i)) }
@@ -111,7 +121,7 @@
 	table, err := routing.New(1, routes, services, routing.ClientLimits{})
 	require.NoError(t, err)
 	e := New(Config{Client: client, Host: "host", DataCentre: "dc0", ExtraRatio: 0.2, ExtraSlack: 104})
-	e.SetWorld(NewWorld(table, targetsOf(names...), nil, hosts))
+	e.SetWorld(NewWorld(table, targetsOf(names...), nil, fleetOf(hosts)))
 	return e, table
 }
 
@@ -286,7 +296,7 @@
 			for i := range targets {
 				targets[i].Draining = targets[i].DataCentre == "dc0"
 			}
-			e.SetWorld(NewWorld(table, targets, map[model.DataCentreID]bool{"dc1": true}, 1))
+			e.SetWorld(NewWorld(table, targets, map[model.DataCentreID]bool{"dc1": true}, fleetOf(1)))
 		}()
 		started := time.Now()
 		e.Do(t.Context(), request("a", &table.Routes[0]))
@@ -316,7 +326,7 @@
 				var engines []*Engine
 				for h := range hosts {
 					e := New(Config{Client: f, Host: model.HostID(fmt.Sprint("host", h)), ExtraRatio: 0.2, ExtraSlack: 104})
-					e.SetWorld(NewWorld(table, targets, nil, hosts))
+					e.SetWorld(NewWorld(table, targets, nil, fleetOf(hosts)))
 					engines = append(engines, e)
 				}
 				var waiting sync.WaitGroup
@@ -354,7 +364,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{behave: after(ms)}
 		e, table := newEngine(t, f, 1, 0, singleRoute(false))
-		e.SetWorld(NewWorld(table, nil, nil, 1))
+		e.SetWorld(NewWorld(table, nil, nil, fleetOf(1)))
 		started := time.Now()
 		outcome := e.Do(t.Context(), request("a", &table.Routes[0]))
 		require.Zero(t, time.Since(started))
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -41,7 +41,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w := e.world.Load()
-	service := e.service(model.ServiceID(part.ID), w.Hosts)
+	service := e.service(model.ServiceID(part.ID), w.Fleet.Part)
 	if kind.Extra() && service.extra.Tokens() < 1 {
 		p.run.trace.BudgetRefusals++
 		return "", scatter.NoBudget
@@ -64,7 +64,7 @@
 		state:       state,
 		service:     service,
 		estimate:    estimate,
-		connections: connections(w.Table.Services[chosen.Service], w.Hosts),
+		connections: connections(w.Table.Services[chosen.Service], w.Fleet.Part),
 	})
 	return chosen.Target, scatter.Picked
 }
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -35,7 +35,7 @@
 // serviceState is what this host knows about one service. It belongs to the engine's mutex.
 type serviceState struct {
 	extra   *budget.Bucket
-	hosts   int
+	part    float64
 	latency replica.Sketch
 }
 
@@ -48,27 +48,27 @@
 	return state
 }
 
-func (e *Engine) service(id model.ServiceID, hosts int) *serviceState {
+func (e *Engine) service(id model.ServiceID, part float64) *serviceState {
 	state := e.services[id]
 	if state == nil {
 		state = &serviceState{}
-		state.resize(e.cfg, hosts)
+		state.resize(e.cfg, part)
 		e.services[id] = state
 	}
 	return state
 }
 
-// resize gives the service the budget of one of the hosts. A bucket that is made anew starts empty unless it is the first,
+// resize gives the service this host's part of the budget. A bucket that is made anew starts empty unless it is the first,
 // because what the former one held may have been spent.
-func (s *serviceState) resize(cfg Config, hosts int) {
-	if s.hosts == hosts {
+func (s *serviceState) resize(cfg Config, part float64) {
+	if s.part == part {
 		return
 	}
 	former := s.extra
-	s.hosts = hosts
+	s.part = part
 	s.extra = budget.New(budget.Config{
 		Share: cfg.ExtraRatio * budgetShare,
-		Burst: cfg.ExtraSlack * budgetShare / float64(hosts),
+		Burst: cfg.ExtraSlack * budgetShare * part,
 	})
 	if former != nil {
 		s.extra.Limit(former.Tokens())
@@ -82,8 +82,8 @@
 	if service.ColdRate <= 0 || now >= t.ColdUntil {
 		return true
 	}
-	senders := min(w.Hosts, max(1, int(service.ColdRate/coldHostRate)))
-	if !e.isSender(t.Target, senders, w.Hosts) {
+	senders := min(len(w.Fleet.Relays), max(1, int(service.ColdRate/coldHostRate)))
+	if !e.isSender(t.Target, senders, w.Fleet.Relays) {
 		return false
 	}
 	rate := service.ColdRate / float64(senders)
@@ -96,20 +96,28 @@
 	return true
 }
 
-// isSender tells whether this host is among those that send to a cold target. The hash spreads the cold targets over the
-// hosts.
-func (e *Engine) isSender(target model.TargetID, senders, hosts int) bool {
-	if senders >= hosts {
-		return true
+// isSender tells whether this host is among the relays that send to a cold target: those with the highest hashes. All hosts
+// know the same relays, so that they agree on the senders.
+func (e *Engine) isSender(target model.TargetID, senders int, relays []model.HostID) bool {
+	own := senderRank(target, e.cfg.Host)
+	higher, known := 0, false
+	for _, host := range relays {
+		known = known || host == e.cfg.Host
+		if senderRank(target, host) > own {
+			higher++
+		}
 	}
-	digest := xxhash.Sum64String(string(target) + "/" + string(e.cfg.Host))
-	return digest%uint64(hosts) < uint64(senders)
+	return known && higher < senders
+}
+
+func senderRank(target model.TargetID, host model.HostID) uint64 {
+	return xxhash.Sum64String(string(target) + "/" + string(host))
 }
 
 // connections returns the number of connections that this host may have to a target of the service.
-func connections(service routing.Service, hosts int) int {
+func connections(service routing.Service, part float64) int {
 	if service.MaxConnections <= 0 {
 		return 0
 	}
-	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(hosts)))
+	return max(1, int(connectionShare*float64(service.MaxConnections)*part))
 }
--- a/internal/forward/trace.go
+++ b/internal/forward/trace.go
@@ -57,7 +57,7 @@
 		ID:         request.ID,
 		Route:      request.Route.Name,
 		Generation: w.Table.Generation,
-		Hosts:      w.Hosts,
+		Hosts:      w.Fleet.Hosts,
 		Priority:   request.Route.Priority,
 		Allowed:    request.Deadline.Sub(request.Arrived),
 	}
--- a/internal/forward/world.go
+++ b/internal/forward/world.go
@@ -6,6 +6,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
+	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 	"github.com/knapweedrouter/knapweedrouter/internal/routing"
 	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
 )
@@ -13,8 +14,8 @@
 // World is the configuration and the targets that are in force. It is not changed after it has been made.
 type World struct {
 	Table *routing.Table
-	// Hosts is the greatest number of hosts that may serve at present.
-	Hosts int
+	// Fleet tells among which hosts shared budgets are divided.
+	Fleet relay.Fleet
 
 	registered map[model.TargetID]registry.Target
 	eligible   map[model.ServiceID][]model.TargetID
@@ -24,10 +25,10 @@
 
 // NewWorld returns the world of a table and registered targets. Targets that drain, or whose data centre is out, are not
 // eligible.
-func NewWorld(table *routing.Table, targets []registry.Target, out map[model.DataCentreID]bool, hosts int) *World {
+func NewWorld(table *routing.Table, targets []registry.Target, out map[model.DataCentreID]bool, fleet relay.Fleet) *World {
 	w := &World{
 		Table:      table,
-		Hosts:      max(1, hosts),
+		Fleet:      fleet,
 		registered: make(map[model.TargetID]registry.Target, len(targets)),
 		eligible:   map[model.ServiceID][]model.TargetID{},
 		routes:     make(map[string]bool, len(table.Routes)),
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -48,6 +48,7 @@
 	engine  *forward.Engine
 	observe *observer
 	stopper *stopper
+	hop     *hop
 }
 
 // ServeHTTP implements http.Handler.
@@ -58,9 +59,9 @@
 		return
 	}
 	world := f.engine.World()
-	if world == nil {
+	if world == nil || world.Table.Generation < f.hop.least() {
 		f.refuse(w, r, fault.New(fault.NotReady, fault.NotRun, "use another host",
-			"this host has no configuration yet").WithRetryAfter(notReadyRetry))
+			"this host does not have the configuration yet").WithRetryAfter(notReadyRetry))
 		return
 	}
 	route := world.Table.Match(r.Host, r.URL.EscapedPath())
@@ -82,13 +83,52 @@
 			Header: endToEnd(r.Header),
 			Body:   body,
 		},
-		Route:    route,
-		Arrived:  arrived,
-		Deadline: arrived.Add(f.allowed(r.Header, route) - answerMargin),
+		Route:      route,
+		Generation: world.Table.Generation,
+		Arrived:    arrived,
+		Deadline:   arrived.Add(f.allowed(r.Header, route) - answerMargin),
 	}
 	ctx, cancel := f.callerContext(r, route)
 	defer cancel()
-	f.answer(w, r, request, f.engine.Do(ctx, request))
+	if f.hop.serve(ctx, w, &request) {
+		return
+	}
+	f.carryOut(ctx, w, &request)
+}
+
+// carryOut carries the request out on this host and writes the answer.
+func (f *front) carryOut(ctx context.Context, w http.ResponseWriter, request *forward.Request) {
+	f.answer(w, request, f.engine.Do(ctx, *request))
+}
+
+// restore returns the request that another host has handed on, or the reason why this host does not carry it out.
+func (f *front) restore(message *gatherRequest) (*forward.Request, string) {
+	if err := f.stopper.refusal(); err != nil || f.stopper.isStopping() {
+		return nil, "this host is stopping"
+	}
+	world := f.engine.World()
+	if world == nil || world.Table.Generation < max(message.Generation, f.hop.least()) {
+		return nil, "this host has an older configuration"
+	}
+	route := world.Table.Match(message.Host, pathOf(message.URI))
+	if route == nil || route.Repeatable != message.Repeatable {
+		return nil, "the route is another one in this host's configuration"
+	}
+	now := time.Now()
+	return &forward.Request{
+		Request: &exchange.Request{
+			ID:     message.ID,
+			Method: message.Method,
+			URI:    message.URI,
+			Host:   message.Host,
+			Header: message.Header,
+			Body:   message.Body,
+		},
+		Route:      route,
+		Generation: world.Table.Generation,
+		Arrived:    now.Add(-message.Since),
+		Deadline:   now.Add(message.Allowed),
+	}, ""
 }
 
 // callerContext returns the context that ends when the caller goes away or the host stops. A request that may not be repeated goes on to its
@@ -146,10 +186,10 @@
 }
 
 // answer writes the outcome of a request.
-func (f *front) answer(w http.ResponseWriter, r *http.Request, request forward.Request, outcome forward.Outcome) {
+func (f *front) answer(w http.ResponseWriter, request *forward.Request, outcome forward.Outcome) {
 	switch {
 	case outcome.Err != nil:
-		f.refuse(w, r, outcome.Err)
+		f.reply(w, outcome.Err)
 	case outcome.Failure != nil:
 		f.pass(w, outcome.Failure)
 	case len(request.Route.Shards) > 0:
@@ -183,12 +223,18 @@
 	f.write(w, http.StatusOK, records.Top(parts, route.TopRecords))
 }
 
-// refuse writes an answer of this host's own.
+// refuse writes a refusal for which no target was asked.
 func (f *front) refuse(w http.ResponseWriter, r *http.Request, err *fault.Error) {
+	f.observe.refused(f.dialect.RequestID(r.Header), r.Host, r.URL.Path, err)
+	f.reply(w, err)
+}
+
+// reply writes an answer of this host's own.
+func (f *front) reply(w http.ResponseWriter, err *fault.Error) {
 	if after := err.RetryAfter(); after > 0 {
 		f.dialect.StateRetry(w.Header(), after)
 	}
-	f.observe.refused(f.dialect.RequestID(r.Header), r.Host, r.URL.Path, err)
+	f.observe.replied(err)
 	w.Header().Set("Content-Type", "text/plain")
 	f.write(w, err.HTTPStatus(), []byte(err.Error()+"\n"))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,9 +34,9 @@
 	maxHeaderBytes = 64 << 10
 	probeTimeout   = 2 * time.Second
 	// peerSilence is the time without a sign of life after which a connection to another host is replaced.
-	peerSilence = 1500 * time.Millisecond
-	// eagerLinkMbps is the bandwidth from which a host claims the duty of a relay before others.
-	eagerLinkMbps = 100
+	peerSilence = 800 * time.Millisecond
+	// largeLinkMbps is the bandwidth from which a host claims the duty of a relay before others, and gathers for them.
+	largeLinkMbps = 100
 )
 
 // Platform holds what translates between the project's model and the outside.
@@ -59,6 +59,7 @@
 	state    *state
 	observe  *observer
 	stopper  *stopper
+	front    *front
 	peers    *peer.FrameTransport
 	relay    *relay.Relay
 }
@@ -93,18 +94,22 @@
 		Host:             s.HostID,
 		Address:          s.PeerListen,
 		DataCentre:       s.DataCentre,
-		Eager:            s.LinkMbps >= eagerLinkMbps,
+		Large:            s.LinkMbps >= largeLinkMbps,
 		OlderIncarnation: func(known model.Incarnation) { peers.SetIncarnation(known + 1) },
 	})
+	stopper := newStopper(s.StopSeconds)
+	callers := &front{dialect: p.Callers, engine: engine, observe: observe, stopper: stopper}
+	callers.hop = newHop(logger, peers, relays, callers)
 	return &Gateway{
+		front:    callers,
 		logger:   logger,
 		settings: s,
 		platform: p,
 		pool:     pool,
 		engine:   engine,
-		state:    newState(logger, p.Decoder, engine, relays.Hosts),
+		state:    newState(logger, p.Decoder, engine, relays.Fleet),
 		observe:  observe,
-		stopper:  newStopper(s.StopSeconds),
+		stopper:  stopper,
 		peers:    peers,
 		relay:    relays,
 	}, nil
@@ -174,7 +179,7 @@
 
 func (g *Gateway) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           g.stopper.wrap(&front{dialect: g.platform.Callers, engine: g.engine, observe: g.observe, stopper: g.stopper}),
+		Handler:           g.stopper.wrap(g.front),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -184,14 +185,18 @@
 	return nil
 }
 
-// refused notes a refusal that no target was asked for. Refusals of the engine have a trace already.
-func (o *observer) refused(id, host, path string, err *fault.Error) {
+// replied counts an answer of this host's own.
+func (o *observer) replied(err *fault.Error) {
 	o.metrics.GetOrCreateCounter(`knapweedrouter_refusals_total{kind="` + string(err.Kind) + `",execution="` + string(err.Execution) + `"}`).Inc()
-	switch err.Kind {
-	case fault.NotFound, fault.NotReady, fault.Stopping, fault.TooLarge, fault.BadRequest:
-	default:
-		return
-	}
+}
+
+// handedOn counts a query that a gathering host has carried out.
+func (o *observer) handedOn(status int) {
+	o.metrics.GetOrCreateCounter(`knapweedrouter_queries_handed_on_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+}
+
+// refused notes a refusal for which no target was asked. The others have a trace.
+func (o *observer) refused(id, host, path string, err *fault.Error) {
 	if o.lines.Allow() {
 		o.logger.Info("request refused", zap.String("id", id), zap.String("host", host), zap.String("path", path),
 			zap.String("kind", string(err.Kind)), zap.String("execution", string(err.Execution)), zap.String("reason", err.Message))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,6 +10,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
+	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 	"github.com/knapweedrouter/knapweedrouter/internal/routing"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
@@ -55,15 +56,15 @@
 	table    *routing.Table
 	registry *registry.Registry
 	out      map[model.DataCentreID]bool
-	// hosts returns the number of hosts; inForce is the number that the engine has.
-	hosts   func() int
-	inForce int
+	// fleet returns the hosts that share budgets; inForce is what the engine has.
+	fleet   func() relay.Fleet
+	inForce relay.Fleet
 	away    bool
 	// confirmed is the time of the last answer of the store.
 	confirmed time.Duration
 }
 
-func newState(logger *zap.Logger, decoder Decoder, engine *forward.Engine, hosts func() int) *state {
+func newState(logger *zap.Logger, decoder Decoder, engine *forward.Engine, fleet func() relay.Fleet) *state {
 	return &state{
 		logger:   logger,
 		decoder:  decoder,
@@ -71,7 +72,7 @@
 		start:    time.Now(),
 		registry: registry.New(),
 		out:      map[model.DataCentreID]bool{},
-		hosts:    hosts,
+		fleet:    fleet,
 	}
 }
 
@@ -200,7 +201,7 @@
 	if s.table == nil {
 		return
 	}
-	s.inForce = s.hosts()
+	s.inForce = s.fleet()
 	s.engine.SetWorld(forward.NewWorld(s.table, s.registry.Targets(), s.out, s.inForce))
 }
 
@@ -213,7 +214,7 @@
 	for _, id := range gone {
 		s.logger.Info("target lapsed", zap.String("target", string(id)))
 	}
-	if hosts := s.hosts(); len(gone) > 0 || hosts != s.inForce {
+	if fleet := s.fleet(); len(gone) > 0 || !fleet.Equal(s.inForce) {
 		s.publish()
 	}
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -31,6 +31,7 @@
 	// pullers holds the time of the last pull of each host from this one.
 	pullers map[model.HostID]time.Time
 	told    count // by the relay that this host pulls from
+	large   count // the greatest number of large relays lately
 }
 
 type count struct {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -66,6 +66,8 @@
 	Host       model.HostID       `json:"host"`
 	Address    string             `json:"address"`
 	DataCentre model.DataCentreID `json:"data_centre"`
+	// Large hosts gather the answers of the others' queries.
+	Large bool `json:"large"`
 }
 
 // slotPrefix begins the keys of the slots: slotPrefix + data centre + "/" + number.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,8 +37,9 @@
 	// Address is where other hosts reach this one.
 	Address    string
 	DataCentre model.DataCentreID
-	// Eager hosts claim a free slot at once; the others leave it to them for some seconds.
-	Eager bool
+	// Large hosts claim a free slot at once, and gather the answers of the others' queries. The others leave them the slots
+	// for some seconds.
+	Large bool
 	// OlderIncarnation is called when other hosts know a later incarnation of this host.
 	OlderIncarnation func(known model.Incarnation)
 }
@@ -57,7 +58,7 @@
 
 // New returns a relay that has not started, and registers its handlers with the transport.
 func New(logger *zap.Logger, cfg Config) *Relay {
-	self := record{Host: cfg.Host, Address: cfg.Address, DataCentre: cfg.DataCentre}
+	self := record{Host: cfg.Host, Address: cfg.Address, DataCentre: cfg.DataCentre, Large: cfg.Large}
 	r := &Relay{
 		logger:    logger,
 		cfg:       cfg,
@@ -75,6 +76,28 @@
 // Hosts returns the greatest number of hosts that may serve at present.
 func (r *Relay) Hosts() int { return r.directory.hosts(time.Now()) }
 
+// Fleet returns what this host knows of the hosts that share budgets.
+func (r *Relay) Fleet() Fleet { return r.directory.fleet(time.Now(), r.IsRelay()) }
+
+// Gatherers returns the large relays of this host's data centre in the order in which it asks them; none if this host is
+// large itself.
+func (r *Relay) Gatherers() []Gatherer {
+	if r.cfg.Large {
+		return nil
+	}
+	now := time.Now()
+	var found []Gatherer
+	for _, relay := range r.directory.relays(now) {
+		if relay.Large && relay.DataCentre == r.cfg.DataCentre && !r.directory.isAvoided(relay.Host, now) {
+			found = append(found, Gatherer{Host: relay.Host, Address: relay.Address})
+		}
+	}
+	return found
+}
+
+// Avoid notes that a host did not answer.
+func (r *Relay) Avoid(host model.HostID) { r.directory.failed(host, time.Now()) }
+
 // IsRelay tells whether this host follows the store itself.
 func (r *Relay) IsRelay() bool { return r.slot.isHeld() }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -308,14 +308,14 @@
 	return d
 }
 
-func (d *deployment) start(id, dataCentre string, eager bool) *host {
+func (d *deployment) start(id, dataCentre string, large bool) *host {
 	name := model.HostID(id)
 	h := &host{
 		transport: &transport{network: d.network, self: peer.Sender{Host: name}, handlers: map[peer.Kind]peer.Handler{}},
 		values:    map[string]string{},
 	}
 	h.Relay = New(zap.NewNop(), Config{
-		Feed: feedOf{d.store, name}, Transport: h.transport, Host: name, Address: id, DataCentre: model.DataCentreID(dataCentre), Eager: eager,
+		Feed: feedOf{d.store, name}, Transport: h.transport, Host: name, Address: id, DataCentre: model.DataCentreID(dataCentre), Large: large,
 		OlderIncarnation: func(model.Incarnation) {},
 	})
 	d.network.mu.Lock()
--- a/internal/relay/slot.go
+++ b/internal/relay/slot.go
@@ -16,12 +16,12 @@
 
 const (
 	// slotsPerDataCentre is the number of relays of a data centre. Any of them may be lost; the others serve its hosts.
-	slotsPerDataCentre = 4
+	slotsPerDataCentre = 3
 	// slotTTL is the time after which the slot of a relay that does not renew its lease is free.
 	slotTTL     = 9 * time.Second
 	slotRenewal = slotTTL / 3
 	slotTimeout = time.Second
-	// eagerWait and reluctantWait bound the random time after which a host claims a free slot. The others wait for the eager
+	// eagerWait and reluctantWait bound the random time after which a host claims a free slot. The others wait for the large
 	// hosts, and for the news of their claims, by eagerLead more.
 	eagerWait     = 150 * time.Millisecond
 	reluctantWait = 2 * time.Second
@@ -92,7 +92,7 @@
 	if len(k.directory.free(slotsPerDataCentre)) == 0 {
 		return lookInterval, nil
 	}
-	if k.cfg.Eager {
+	if k.cfg.Large {
 		if err := ctxtime.Sleep(ctx, rand.N(eagerWait)); err != nil {
 			return 0, err
 		}
