Wait for the slot before the first listing

Cause: a restarted host asked for entries before it had looked up its slot, failed, and waited for the backoff: about 0.2 s of refusals after each restart.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -166,6 +166,10 @@
 
 // List returns all entries with the prefix: from the store if this host is a relay or no relay answers, else from a relay.
 func (r *Relay) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	select {
+	case <-r.slot.placed:
+	case <-ctx.Done():
+	}
 	if r.followsStore() {
 		entries, revision, err := r.cfg.Feed.List(ctx, prefix)
 		r.learnt(err)
--- a/internal/relay/slot.go
+++ b/internal/relay/slot.go
@@ -39,12 +39,14 @@
 
 	held   atomic.Bool
 	looked atomic.Bool
+	// placed is closed once this host knows the relays and has tried to take back the slot that it had.
+	placed chan struct{}
 	key    string
 	lease  store.LeaseID
 }
 
 func newSlotKeeper(logger *zap.Logger, cfg Config, self record, d *directory) *slotKeeper {
-	return &slotKeeper{logger: logger, cfg: cfg, self: self, directory: d}
+	return &slotKeeper{logger: logger, cfg: cfg, self: self, directory: d, placed: make(chan struct{})}
 }
 
 func (k *slotKeeper) isHeld() bool { return k.held.Load() }
@@ -57,8 +59,15 @@
 	for ctx.Err() == nil && !k.looked.Load() {
 		k.look(ctx)
 	}
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
+		_, owner := k.directory.own()
+		if first && !owner {
+			close(k.placed)
+		}
 		pause, err := k.step(ctx)
+		if first && owner {
+			close(k.placed)
+		}
 		if err != nil && ctx.Err() == nil {
 			k.logger.Warn("relay slot not kept", zap.String("slot", k.key), zap.Error(err))
 			pause = lookInterval
