--- a/internal/cli/checkconfig.go
+++ b/internal/cli/checkconfig.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/gateway"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/operatorapi/operatorwire"
 	"github.com/knapweedrouter/knapweedrouter/internal/settings"
@@ -64,6 +65,7 @@
 
 const (
 	kindSettings  = "settings"
+	kindGateway   = "gateway settings"
 	kindCatalogue = "catalogue"
 	kindUnknown   = "unknown"
 )
@@ -71,8 +73,12 @@
 // checkDocument tells settings from a catalogue by the names of the top-level fields.
 func checkDocument(content []byte, readFiles bool) (string, strictjson.Faults) {
 	asSettings := strictjson.Overlap(content, reflect.TypeFor[settings.Settings]())
+	asGateway := strictjson.Overlap(content, reflect.TypeFor[gateway.Settings]())
 	asCatalogue := strictjson.Overlap(content, reflect.TypeFor[model.Catalogue]())
 	switch {
+	case asGateway > max(asSettings, asCatalogue):
+		_, faults := gateway.DecodeSettings(content)
+		return kindGateway, faults
 	case asCatalogue > asSettings:
 		return kindCatalogue, checkCatalogue(content)
 	case asSettings > 0:
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -43,7 +43,7 @@
 		<-logEnded
 	}()
 	logger := newLineLogger(ring).With(zap.String("host", string(s.HostID)))
-	g, err := gateway.New(logger, s, func(observed gateway.StoreObserver) gateway.Platform {
+	g, err := gateway.New(logger, s, ring.Dropped, func(observed gateway.StoreObserver) gateway.Platform {
 		return gateway.Platform{
 			Feed:      platform.NewStore(s.StoreAddress, observed),
 			Decoder:   platform.Documents{},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,10 +62,13 @@
 	front    *front
 	peers    *peer.FrameTransport
 	relay    *relay.Relay
+	// logDropped returns the number of log lines that found no room.
+	logDropped func() int64
 }
 
-// New returns a gateway that has not started. platform is called once with the observer of store calls.
-func New(logger *zap.Logger, s Settings, platform func(StoreObserver) Platform) (*Gateway, error) {
+// New returns a gateway that has not started. logDropped returns the number of log lines that were dropped; platform is called
+// once with the observer of store calls.
+func New(logger *zap.Logger, s Settings, logDropped func() int64, platform func(StoreObserver) Platform) (*Gateway, error) {
 	observe := newObserver(logger)
 	p := platform(observe.storeCall)
 	pool := exchange.NewPool(p.Targets)
@@ -101,17 +104,18 @@
 	callers := &front{dialect: p.Callers, engine: engine, observe: observe, stopper: stopper}
 	callers.hop = newHop(logger, peers, relays, callers)
 	return &Gateway{
-		front:    callers,
-		logger:   logger,
-		settings: s,
-		platform: p,
-		pool:     pool,
-		engine:   engine,
-		state:    newState(logger, p.Decoder, engine, relays.Fleet),
-		observe:  observe,
-		stopper:  stopper,
-		peers:    peers,
-		relay:    relays,
+		front:      callers,
+		logDropped: logDropped,
+		logger:     logger,
+		settings:   s,
+		platform:   p,
+		pool:       pool,
+		engine:     engine,
+		state:      newState(logger, p.Decoder, engine, relays.Fleet),
+		observe:    observe,
+		stopper:    stopper,
+		peers:      peers,
+		relay:      relays,
 	}, nil
 }
 
@@ -161,8 +165,7 @@
 		case <-ctx.Done():
 		}
 	})
-	g.logger.Info("host started", zap.String("host", string(g.settings.HostID)),
-		zap.String("data_centre", string(g.settings.DataCentre)), zap.String("callers", g.settings.CallerListen))
+	g.logger.Info("host started", zap.String("data_centre", string(g.settings.DataCentre)), zap.String("callers", g.settings.CallerListen))
 	err = callerServer.Serve(callers)
 	g.stopper.wait(ctx)
 	cancel()
@@ -241,15 +244,6 @@
 	return router
 }
 
-// operatorHandler serves metrics and the state of the process.
-func (g *Gateway) operatorHandler() http.Handler {
-	router := httprouter.New()
-	router.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		g.observe.metrics.WritePrometheus(w)
-	})
-	return router
-}
-
 // summarize logs summaries until the context ends, and drops connections to targets that are gone.
 func (g *Gateway) summarize(ctx context.Context) {
 	for ctxtime.Sleep(ctx, summaryInterval) == nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -63,25 +63,26 @@
 	add := func(field string, value any, allowed, remedy string) {
 		faults = append(faults, strictjson.Fault{Path: "$." + field, Value: strictjson.Show(value), Allowed: allowed, Remedy: remedy})
 	}
-	for field, value := range map[string]string{
-		"host_id": string(s.HostID), "data_centre": string(s.DataCentre), "region": string(s.Region),
+	for _, name := range []struct{ field, value string }{
+		{"host_id", string(s.HostID)}, {"data_centre", string(s.DataCentre)}, {"region", string(s.Region)},
 	} {
-		if value == "" {
-			add(field, value, "a name", "name it")
+		if name.value == "" {
+			add(name.field, name.value, "a name", "name it")
 		}
 	}
-	for field, value := range map[string]string{
-		"caller_listen": s.CallerListen, "ready_listen": s.ReadyListen, "operator_listen": s.OperatorListen,
-		"peer_listen": s.PeerListen, "store_address": s.StoreAddress,
+	for _, address := range []struct{ field, value string }{
+		{"caller_listen", s.CallerListen}, {"ready_listen", s.ReadyListen}, {"operator_listen", s.OperatorListen},
+		{"peer_listen", s.PeerListen}, {"store_address", s.StoreAddress},
 	} {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			add(field, value, "IP:port", fmt.Sprintf("name an address: %v", err))
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			add(address.field, address.value, "IP:port", fmt.Sprintf("name an address: %v", err))
 		}
 	}
-	for field, value := range map[string]float64{"extra_ratio": s.ExtraRatio, "extra_slack": s.ExtraSlack} {
-		if value < 0 {
-			add(field, value, "0 or more", "use a number that is not negative")
-		}
+	if s.ExtraRatio < 0 {
+		add("extra_ratio", s.ExtraRatio, "0 or more", "use a number that is not negative")
+	}
+	if s.ExtraSlack < 0 {
+		add("extra_slack", s.ExtraSlack, "0 or more", "use a number that is not negative")
 	}
 	if len(s.PeerKey) < minPeerKey {
 		add("peer_key", "(secret)", fmt.Sprintf("%d characters or more", minPeerKey), "use a longer key, the same on all hosts")
