--- a/internal/forward/world.go
+++ b/internal/forward/world.go
@@ -56,20 +56,6 @@
 // Eligible returns the targets of a service that may get new work.
 func (w *World) Eligible(service model.ServiceID) []model.TargetID { return w.eligible[service] }
 
-// isEligible tells whether the target may get new work for the service.
-func (w *World) isEligible(id model.TargetID, service model.ServiceID) (registry.Target, bool) {
-	t, ok := w.registered[id]
-	if !ok || t.Service != service {
-		return registry.Target{}, false
-	}
-	for _, candidate := range w.eligible[service] {
-		if candidate == id {
-			return t, true
-		}
-	}
-	return registry.Target{}, false
-}
-
 // snapshotOf returns the services as the parts of one snapshot. Each has an equal share of the keys.
 func (w *World) snapshotOf(route *routing.Route, services []model.ServiceID) snapshot.Snapshot {
 	if len(route.Shards) > 0 {
