Notice relays whose calls to the store hang; keep deadly requests from the targets; announce planned stops to other hosts

The store turned a relay away in silence; its call for changes hung for 4.7 s, and a host that pulled from it kept version 4 for 3.1 s after version 6 was acknowledged. Ruled out: the pulling host's own path (its pulls were answered), gathering of changes (0.25 s). Change: relays tell each other their revision with each change; one that stays behind for 0.4 s takes the changes from another. TestRelayWhoseCallsHangIsNoticed fails without it. Targets of a request whose attempts are lost twice are probed, and after three crashes the request is refused (TestDeadlyRequestIsKeptFromTheTargets). A host that stops marks its slot as leaving, so that small hosts hand nothing on to it: TestLargeHostCarriesOutRequests failed once with a 502 just after the large host's end.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -109,6 +109,15 @@
 	return reply, classify(reply)
 }
 
+// Probe implements Client.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func (p *Pool) acquire(ctx context.Context, a *Attempt) (*lane, *connection, error) {
 	l, conn, err := p.reserve(a)
 	if err != nil || conn != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,8 @@
 	// Do sends the attempt and returns the reply. With ErrFailure the reply is returned too. The other errors are those of
 	// package targetclient: ErrNotSent, ErrShed, ErrDraining, ErrMismatch, ErrLost, ErrSilent and ErrCancelled.
 	Do(ctx context.Context, attempt *Attempt) (*Reply, error)
+	// Probe opens a connection to an address and closes it. It returns an error if nothing accepts it.
+	Probe(ctx context.Context, address string) error
 }
 
 // classify returns the error that a reply stands for, nil for a success.
--- /dev/null
+++ b/internal/forward/crash_test.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+// crashing is a client whose targets crash when they run the request with the deadly path.
+type crashing struct {
+	fleet
+	down map[string]bool
+}
+
+func (c *crashing) Probe(_ context.Context, address string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down[address] {
+		return errors.New("refused")
+	}
+	return nil
+}
+
+// spread is an Observer that tells the other hosts of crashes.
+type spread struct {
+	others func() []*Engine
+}
+
+func (s spread) RequestEnded(Trace) {}
+
+func (s spread) TargetCrashed(crash Crash) {
+	for _, e := range s.others() {
+		e.Learn(crash)
+	}
+}
+
+// TestDeadlyRequestIsKeptFromTheTargets guards against a request that crashes each target which runs it and is sent again by its
+// caller to one host after the other, and against refusing requests whose answers were only lost.
+func TestDeadlyRequestIsKeptFromTheTargets(t *testing.T) {
+	for _, crash := range []bool{true, false} {
+		t.Run(fmt.Sprint(crash), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &crashing{down: map[string]bool{}}
+				c.behave = func(a *exchange.Attempt) (time.Duration, error) {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					if c.down[a.Address] {
+						return ms, targetclient.ErrNotSent
+					}
+					if a.Request.URI != "/deadly" {
+						return ms, nil
+					}
+					c.down[a.Address] = crash
+					return ms, targetclient.ErrLost
+				}
+				var engines []*Engine
+				route := singleRoute(true)
+				_, table := newEngine(t, c, 4, 0, route)
+				targets := targetsOf("single")
+				for i := range 9 {
+					extra := targets[i%3]
+					extra.Target += model.TargetID(fmt.Sprint("-", i))
+					targets = append(targets, extra)
+				}
+				for i := range targets {
+					targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
+				}
+				for h := range 4 {
+					e := New(Config{Client: c, Host: model.HostID(fmt.Sprint("host", h)), ExtraRatio: 0.2, ExtraSlack: 104,
+						Observer: spread{func() []*Engine { return engines }}})
+					e.SetWorld(NewWorld(table, targets, nil, fleetOf(4)))
+					engines = append(engines, e)
+				}
+				arrivalsLate, refused := 0, 0
+				for i := range 12 {
+					before := len(c.arrivals)
+					r := request(fmt.Sprint(i), &table.Routes[0])
+					r.Request.URI = "/deadly"
+					outcome := engines[i%4].Do(t.Context(), r)
+					require.NotNil(t, outcome.Err)
+					time.Sleep(500 * ms)
+					if i >= 4 {
+						arrivalsLate += len(c.arrivals) - before
+					}
+					if outcome.Err.Kind == fault.Quarantined {
+						require.Equal(t, fault.NotRun, outcome.Err.Execution)
+						require.Equal(t, before, len(c.arrivals))
+						refused++
+					}
+				}
+				if crash {
+					require.Zero(t, arrivalsLate)
+					require.Positive(t, refused)
+				} else {
+					require.Zero(t, refused)
+				}
+				var waiting sync.WaitGroup
+				for i := range 8 {
+					waiting.Go(func() {
+						require.Nil(t, engines[i%4].Do(t.Context(), request(fmt.Sprint("good", i), &table.Routes[0])).Err)
+					})
+				}
+				waiting.Wait()
+			})
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,8 @@
 // Observer learns of decisions. Its methods are called from many goroutines and must return at once.
 type Observer interface {
 	RequestEnded(Trace)
+	// TargetCrashed is told of each crash that this host has seen first.
+	TargetCrashed(Crash)
 }
 
 // Request is a request of a caller.
@@ -69,6 +71,7 @@
 	services map[model.ServiceID]*serviceState
 	routes   map[string]*replica.Sketch
 	splitter *routing.Splitter
+	crashes  crashes
 }
 
 // New returns an engine. It refuses requests until SetWorld is called.
@@ -80,6 +83,7 @@
 		services: map[model.ServiceID]*serviceState{},
 		routes:   map[string]*replica.Sketch{},
 		splitter: routing.NewSplitter(),
+		crashes:  crashes{suspects: map[uint64]*suspect{}},
 	}
 }
 
@@ -133,6 +137,12 @@
 // has gone.
 func (e *Engine) Do(ctx context.Context, request Request) Outcome {
 	r := e.newRun(request)
+	if err := r.quarantine(); err != nil {
+		outcome := Outcome{Err: err}
+		r.finish()
+		r.report(outcome)
+		return outcome
+	}
 	r.drive(ctx)
 	outcome := r.outcome(ctx)
 	r.report(outcome)
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -22,6 +22,8 @@
 	defaultObjective = time.Second
 	// costNoise spreads the choices of hosts that see targets of the same cost.
 	costNoise = 0.1
+	// tieNoise spreads the choices among targets of which nothing is known.
+	tieNoise = 100 * time.Microsecond
 )
 
 var retryBackoff = budget.Backoff{Base: 2 * time.Millisecond, Max: 20 * time.Millisecond}
@@ -85,7 +87,7 @@
 		t := w.registered[id]
 		state := e.target(&t)
 		cost := state.pace.Cost(now, usual, t.Slots)
-		cost += time.Duration(costNoise * rand.Float64() * float64(cost))
+		cost += time.Duration(rand.Float64() * (costNoise*float64(cost) + float64(tieNoise)))
 		if state.pace.Avoid(now) {
 			if kind == scatter.Hedge || kind == scatter.LateHedge {
 				continue
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
@@ -66,6 +67,10 @@
 	failure  *exchange.Reply
 	trace    Trace
 	arrived  time.Duration
+	// fingerprint identifies the content of the request.
+	fingerprint uint64
+	// open counts the attempts that have not ended.
+	open     atomic.Int32
 	gone     bool
 	unplaced bool
 }
@@ -93,6 +98,8 @@
 		events:  make(chan event, len(services)),
 		over:    make(chan struct{}),
 		arrived: request.Arrived.Sub(e.start),
+
+		fingerprint: fingerprint(request.Request),
 	}
 	r.attempts, r.cancel = context.WithCancel(context.Background())
 	r.trace = newTrace(request, w)
@@ -137,6 +144,17 @@
 	return (float64(leastShards(minCoverage, shards)) - 0.5) / float64(shards)
 }
 
+// quarantine returns the refusal of a request that has crashed too many targets.
+func (r *run) quarantine() *fault.Error {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.crashes.isQuarantined(e.now(), r.fingerprint) {
+		return nil
+	}
+	return fault.New(fault.Quarantined, fault.NotRun, "send another request", "the request has crashed %d targets", crashLimit)
+}
+
 // drive runs the machine to its end.
 func (r *run) drive(ctx context.Context) {
 	defer close(r.over)
@@ -189,6 +207,7 @@
 		}
 		place, number, started := r.places[action.Attempt.ID], action.Attempt.ID, action.Attempt.Sent
 		r.trace.send(action, place, r.engine.now()-r.arrived)
+		r.open.Add(1)
 		r.engine.tasks.Go(func() { r.attempt(place, number, started) })
 	}
 }
@@ -203,6 +222,7 @@
 		MaxConnections: p.connections,
 	})
 	r.learn(p, started, reply, err)
+	r.open.Add(-1)
 	select {
 	case r.events <- event{attempt: number, reply: reply, err: err}:
 	case <-r.over:
@@ -233,6 +253,11 @@
 	default:
 		pace.Fail(now, started)
 	}
+	if errors.Is(err, targetclient.ErrLost) {
+		for _, suspected := range e.crashes.lost(now, r.fingerprint, p) {
+			e.tasks.Go(func() { e.probe(suspected, r.fingerprint) })
+		}
+	}
 }
 
 func (e *Engine) routeSketch(name string) *replica.Sketch {
@@ -247,6 +272,10 @@
 // finish lets the remaining attempts linger and then ends them. The attempts of a request that may not be repeated go on
 // until its deadline, because a target that loses its connection may still complete it.
 func (r *run) finish() {
+	if r.open.Load() == 0 {
+		r.cancel()
+		return
+	}
 	if r.request.Route.Repeatable {
 		time.AfterFunc(linger, r.cancel)
 		return
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -236,7 +236,16 @@
 	}
 	f.observe.replied(err)
 	w.Header().Set("Content-Type", "text/plain")
-	f.write(w, err.HTTPStatus(), []byte(err.Error()+"\n"))
+	f.write(w, statusOf(err), []byte(err.Error()+"\n"))
+}
+
+// statusOf returns the status of an answer of this host's own. On this interface a proper request is never answered with a
+// client's error, and 503 promises that it did not run.
+func statusOf(err *fault.Error) int {
+	if err.Kind == fault.Quarantined {
+		return http.StatusServiceUnavailable
+	}
+	return err.HTTPStatus()
 }
 
 func (f *front) write(w http.ResponseWriter, status int, body []byte) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	stopper := newStopper(s.StopSeconds)
 	callers := &front{dialect: p.Callers, engine: engine, observe: observe, stopper: stopper}
 	callers.hop = newHop(logger, peers, relays, callers)
+	observe.spread = callers.hop.spread
 	return &Gateway{
 		front:      callers,
 		logDropped: logDropped,
@@ -161,7 +162,7 @@
 	duties.Go(func() {
 		select {
 		case <-stopping:
-			g.stopper.run(ctx, g.logger, callerServer)
+			g.stopper.run(ctx, g.logger, callerServer, g.relay.Leave)
 		case <-ctx.Done():
 		}
 	})
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -22,6 +22,7 @@
 const (
 	kindGather       peer.Kind = "gather"
 	kindGatherCancel peer.Kind = "gather_cancel"
+	kindCrash        peer.Kind = "crash"
 	// gatherGrace is the time after a query's deadline within which the gathering host's answer arrives.
 	gatherGrace = 30 * time.Millisecond
 )
@@ -82,6 +83,7 @@
 	h := &hop{logger: logger, transport: transport, relays: relays, front: f, running: map[runningKey]context.CancelFunc{}}
 	transport.Handle(kindGather, h.handleGather)
 	transport.Handle(kindGatherCancel, h.handleCancel)
+	transport.Handle(kindCrash, h.handleCrash)
 	return h
 }
 
@@ -101,6 +103,7 @@
 		case reply.Declined:
 			h.logger.Info("query declined", zap.String("id", request.ID), zap.String("gatherer", string(gatherer.Host)),
 				zap.String("reason", reply.Reason))
+			h.relays.Avoid(gatherer.Host)
 			continue
 		}
 		h.note(reply.Generation)
@@ -181,6 +184,24 @@
 	return nil, nil
 }
 
+// spread tells the relays of a crash.
+func (h *hop) spread(crash forward.Crash) {
+	for _, address := range h.relays.Addresses() {
+		if err := h.transport.Send(address, kindCrash, crash); err != nil {
+			h.logger.Warn("crash not told", zap.String("relay", address), zap.Error(err))
+		}
+	}
+}
+
+func (h *hop) handleCrash(_ context.Context, _ peer.Sender, decode func(any) error) (any, error) {
+	var crash forward.Crash
+	if err := decode(&crash); err != nil {
+		return nil, err
+	}
+	h.front.engine.Learn(crash)
+	return nil, nil
+}
+
 func (h *hop) handleGather(ctx context.Context, from peer.Sender, decode func(any) error) (any, error) {
 	var message gatherRequest
 	if err := decode(&message); err != nil {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -30,6 +30,8 @@
 	logger  *zap.Logger
 	metrics *metrics.Set
 	lines   *rate.Limiter
+	// spread tells the relays of a crash. It is set before the first request.
+	spread func(forward.Crash)
 
 	mu       sync.Mutex
 	ordinary int
@@ -68,6 +70,16 @@
 	}
 }
 
+// TargetCrashed implements forward.Observer.
+func (o *observer) TargetCrashed(crash forward.Crash) {
+	o.metrics.GetOrCreateCounter("knapweedrouter_target_crashes_total").Inc()
+	o.logger.Warn("target crashed by a request", zap.String("target", string(crash.Target)),
+		zap.Uint64("incarnation", uint64(crash.Incarnation)), zap.String("fingerprint", strconv.FormatUint(crash.Fingerprint, 16)))
+	if o.spread != nil {
+		o.spread(crash)
+	}
+}
+
 // mayLog sums the request up and tells whether it gets a line of its own: every request that is not ordinary, as long as
 // the bound allows, and a sample of the others.
 func (o *observer) mayLog(t *forward.Trace) bool {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -94,14 +94,15 @@
 // Unwrap gives http.ResponseController the connection.
 func (c *closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
 
-// run takes the host out of service: not ready, then a wait for the balancer and for callers that still use their
+// run takes the host out of service: not ready and leaving, then a wait for the balancer and for callers that still use their
 // connections, then the end of the listener and of idle connections.
-func (s *stopper) run(ctx context.Context, logger *zap.Logger, server *http.Server) {
+func (s *stopper) run(ctx context.Context, logger *zap.Logger, server *http.Server, leave func(context.Context)) {
 	defer close(s.done)
 	started := time.Now()
 	s.lastSeen.Store(started.UnixNano())
 	s.stopping.Store(true)
 	logger.Info("planned stop: not ready", zap.Int64("in_progress", s.running.Load()))
+	go leave(ctx)
 	latest := started.Add(time.Duration(s.allowed.Load()) - stopMargin)
 	refuse := time.AfterFunc(time.Until(latest.Add(-refuseMargin)), func() { s.refusing.Store(true) })
 	defer refuse.Stop()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -108,7 +108,7 @@
 	defer d.mu.Unlock()
 	var all []record
 	for _, r := range d.slots {
-		if r.Host != d.self.Host {
+		if r.Host != d.self.Host && !r.Leaving {
 			all = append(all, r)
 		}
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -76,6 +76,13 @@
 	l.changed = make(chan struct{})
 }
 
+// latest returns the highest revision that the relay knows.
+func (l *changeLog) latest() store.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
 // answer waits for changes after the revision and returns them.
 func (l *changeLog) answer(ctx context.Context, p pull) pullReply {
 	timer := time.NewTimer(p.Wait)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -55,10 +55,11 @@
 	Hosts int
 }
 
-// census tells the other relays how many hosts pull from one.
+// census tells the other relays how many hosts pull from one, and how far it has followed the store.
 type census struct {
-	Key   string
-	Hosts int
+	Key      string
+	Hosts    int
+	Revision store.Revision
 }
 
 // record is the value of a slot.
@@ -68,6 +69,8 @@
 	DataCentre model.DataCentreID `json:"data_centre"`
 	// Large hosts gather the answers of the others' queries.
 	Large bool `json:"large"`
+	// Leaving hosts stop as planned. They keep their slot for their return, and are asked for nothing meanwhile.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // slotPrefix begins the keys of the slots: slotPrefix + data centre + "/" + number.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,6 +54,9 @@
 	// answered is the time of the last answer of a relay, in ns since the epoch; patience is added to aloneTime.
 	answered atomic.Int64
 	patience time.Duration
+	// newest is the highest revision that another relay has; noticed receives when it rises.
+	newest  atomic.Uint64
+	noticed chan struct{}
 }
 
 // New returns a relay that has not started, and registers its handlers with the transport.
@@ -65,6 +68,7 @@
 		directory: newDirectory(self),
 		log:       newChangeLog(),
 		patience:  rand.N(aloneTime),
+		noticed:   make(chan struct{}, 1),
 	}
 	r.slot = newSlotKeeper(logger, cfg, self, r.directory)
 	r.answered.Store(time.Now().UnixNano())
@@ -95,6 +99,22 @@
 	return found
 }
 
+// Addresses returns the addresses of the other relays.
+func (r *Relay) Addresses() []string {
+	var all []string
+	for _, relay := range r.directory.relays(time.Now()) {
+		all = append(all, relay.Address)
+	}
+	return all
+}
+
+// Leave tells the other hosts that this one stops as planned, so that they ask other relays.
+func (r *Relay) Leave(ctx context.Context) {
+	if err := r.slot.leave(ctx); err != nil {
+		r.logger.Warn("leave not announced", zap.Error(err))
+	}
+}
+
 // Avoid notes that a host did not answer.
 func (r *Relay) Avoid(host model.HostID) { r.directory.failed(host, time.Now()) }
 
@@ -115,7 +135,7 @@
 		return
 	}
 	now := time.Now()
-	message := census{Key: key, Hosts: r.directory.served(now)}
+	message := census{Key: key, Hosts: r.directory.served(now), Revision: r.log.latest()}
 	for _, other := range r.directory.relays(now) {
 		if err := r.cfg.Transport.Send(other.Address, kindCensus, message); err != nil {
 			r.logger.Debug("census not sent", zap.String("relay", string(other.Host)), zap.Error(err))
@@ -129,6 +149,14 @@
 		return nil, err
 	}
 	r.directory.take(c, time.Now())
+	for newest := r.newest.Load(); uint64(c.Revision) > newest; newest = r.newest.Load() {
+		if r.newest.CompareAndSwap(newest, uint64(c.Revision)) {
+			select {
+			case r.noticed <- struct{}{}:
+			default: // the notice before it has not been taken yet
+			}
+		}
+	}
 	return nil, nil
 }
 
@@ -152,10 +180,12 @@
 	r.log.reset(entries)
 }
 
-// Apply takes changes that this host has learnt.
+// Apply takes changes that this host has learnt. A relay tells the others how far it is, so that one whose calls to the store
+// hang notices.
 func (r *Relay) Apply(changes []store.Change) {
 	r.directory.apply(changes)
 	r.log.apply(changes)
+	r.sendCensus()
 }
 
 // Lost notes that neither a relay nor the store answers this host.
@@ -175,18 +205,18 @@
 		r.learnt(err)
 		return entries, revision, err
 	}
-	reply, err := r.ask(ctx, pull{})
+	reply, err := r.ask(ctx, pull{}, isAny)
 	return reply.Entries, reply.Revision, err
 }
 
 // Changes waits for changes after the revision, at the store or a relay.
 func (r *Relay) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
 	if r.followsStore() {
-		changes, revision, err := r.cfg.Feed.Changes(ctx, prefix, after, wait)
+		changes, revision, err := r.watch(ctx, prefix, after, wait)
 		r.learnt(err)
 		return changes, revision, err
 	}
-	reply, err := r.ask(ctx, pull{After: after, Wait: wait})
+	reply, err := r.ask(ctx, pull{After: after, Wait: wait}, isAny)
 	return reply.Changes, reply.Revision, err
 }
 
@@ -206,8 +236,11 @@
 	}
 }
 
-// ask pulls from the relays in turn until one answers.
-func (r *Relay) ask(ctx context.Context, p pull) (pullReply, error) {
+// isAny takes each answer as useful.
+func isAny(*pullReply) bool { return true }
+
+// ask pulls from the relays in turn until one gives a useful answer.
+func (r *Relay) ask(ctx context.Context, p pull, isUseful func(*pullReply) bool) (pullReply, error) {
 	for _, relay := range r.directory.relays(time.Now()) {
 		reply, err := r.call(ctx, relay, p)
 		if ctx.Err() != nil {
@@ -219,6 +252,9 @@
 			continue
 		}
 		r.answered.Store(time.Now().UnixNano())
+		if !isUseful(&reply) {
+			continue
+		}
 		switch reply.Status {
 		case pullAway:
 			r.directory.failed(relay.Host, time.Now())
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -30,13 +30,16 @@
 	changed  chan struct{}
 	reads    map[model.HostID]int
 	refuses  map[model.HostID]bool
-	next     store.LeaseID
+	// hangs tells the hosts whose calls for changes get no answer.
+	hangs map[model.HostID]bool
+	next  store.LeaseID
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		revision: 1, entries: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, owner: map[string]store.LeaseID{},
 		changed: make(chan struct{}), reads: map[model.HostID]int{}, refuses: map[model.HostID]bool{},
+		hangs: map[model.HostID]bool{},
 	}
 }
 
@@ -128,7 +131,12 @@
 			}
 		}
 		revision, changed := f.revision, f.changed
+		hangs := f.hangs[f.host]
 		f.mu.Unlock()
+		if hangs {
+			<-ctx.Done()
+			return nil, 0, store.ErrUnavailable
+		}
 		if len(found) > 0 || !time.Now().Before(end) {
 			return found, revision, nil
 		}
@@ -428,6 +436,25 @@
 	}
 }
 
+// TestRelayWhoseCallsHangIsNoticed guards against hosts that miss a change because the store does not answer their relay any
+// more, which the relay notices by its own timeout only after seconds.
+func TestRelayWhoseCallsHangIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 12)
+		defer d.end()
+		d.requireLearnt("before", time.Second)
+		victims := d.relays()[:2]
+		d.store.mu.Lock()
+		for _, victim := range victims {
+			d.store.hangs[victim.cfg.Host] = true
+		}
+		d.store.mu.Unlock()
+		for i := range 8 {
+			d.requireLearnt(fmt.Sprint("after", i), 1500*time.Millisecond)
+		}
+	})
+}
+
 // TestHostWithoutAnyRelayFollowsTheStore guards against hosts that know nothing because every relay was killed at once.
 func TestHostWithoutAnyRelayFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/slot.go
+++ b/internal/relay/slot.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,8 +42,10 @@
 	looked atomic.Bool
 	// placed is closed once this host knows the relays and has tried to take back the slot that it had.
 	placed chan struct{}
-	key    string
-	lease  store.LeaseID
+
+	mu    sync.Mutex // guards key and lease, which leave reads
+	key   string
+	lease store.LeaseID
 }
 
 func newSlotKeeper(logger *zap.Logger, cfg Config, self record, d *directory) *slotKeeper {
@@ -139,7 +142,9 @@
 		if err != nil {
 			return err
 		}
+		k.mu.Lock()
 		k.lease = lease
+		k.mu.Unlock()
 	}
 	value, err := json.Marshal(k.self)
 	if err != nil {
@@ -151,13 +156,34 @@
 		}
 		return err
 	}
+	k.mu.Lock()
 	k.key = key
+	k.mu.Unlock()
 	k.directory.apply([]store.Change{{Entry: store.Entry{Key: key, Value: value}}})
 	k.held.Store(true)
 	k.logger.Info("relay slot taken", zap.String("slot", key), zap.Uint64("lease", uint64(k.lease)))
 	return nil
 }
 
+// leave marks the slot as that of a host which stops. The slot stays reserved until the lease ends.
+func (k *slotKeeper) leave(ctx context.Context) error {
+	if !k.held.Load() {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, slotTimeout)
+	defer cancel()
+	leaving := k.self
+	leaving.Leaving = true
+	value, err := json.Marshal(leaving)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	key, lease := k.key, k.lease
+	k.mu.Unlock()
+	return k.cfg.Feed.Put(bounded, key, value, lease)
+}
+
 // renew renews the lease. A host whose lease has ended, or whose slot another one holds, gives it up.
 func (k *slotKeeper) renew(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, slotTimeout)
--- a/internal/scatter/machine.go
+++ b/internal/scatter/machine.go
@@ -13,7 +13,9 @@
 	restartWait = 500 * time.Millisecond
 	// attemptsPerPart bounds the attempts of a query, hedges, retries and restart included.
 	attemptsPerPart = 4
-	never           = time.Duration(1<<63 - 1)
+	// maxNotRun bounds the attempts at a part that did not run, where those that run have a bound of their own.
+	maxNotRun = 6
+	never     = time.Duration(1<<63 - 1)
 )
 
 // Machine is the state of one query. It is not safe for concurrent use.
@@ -55,7 +57,12 @@
 
 // MaxAttempts returns the greatest number of attempts that the query sends.
 func (m *Machine) MaxAttempts() int {
-	return attemptsPerPart * max(1, len(m.cfg.Snapshot.Parts), len(m.round.parts))
+	perPart := attemptsPerPart
+	if m.cfg.AttemptsPerPart > 0 {
+		// Attempts that were not sent are bounded here only.
+		perPart = m.cfg.AttemptsPerPart + maxNotRun
+	}
+	return perPart * max(1, len(m.cfg.Snapshot.Parts), len(m.round.parts))
 }
 
 // Done tells whether the result is ready.
