--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -155,7 +155,6 @@
 		l.idle = l.idle[:last]
 		if conn.isUsable(now) {
 			p.counters.Reused.Add(1)
-			conn.used = true
 			return l, conn, nil
 		}
 		conn.Close()
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -41,7 +41,6 @@
 	reader *bufio.Reader
 	// expires is the time at which the target may close the idle connection; zero if it states none.
 	expires time.Time
-	used    bool
 }
 
 func newConnection(conn net.Conn) *connection {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,9 +20,8 @@
 // Config describes an engine.
 type Config struct {
 	Client exchange.Client
-	// Host and DataCentre are those of this host.
-	Host       model.HostID
-	DataCentre model.DataCentreID
+	// Host is this host.
+	Host model.HostID
 	// ExtraRatio and ExtraSlack bound the extra attempts at a service in a window, summed over all hosts: the ratio times
 	// the requests for it, and the slack. Each host uses its part of ExtraSlack.
 	ExtraRatio, ExtraSlack float64
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -121,7 +121,7 @@
 	}
 	table, err := routing.New(1, routes, services, routing.ClientLimits{})
 	require.NoError(t, err)
-	e := New(Config{Client: client, Host: "host", DataCentre: "dc0", ExtraRatio: 0.2, ExtraSlack: 104})
+	e := New(Config{Client: client, Host: "host", ExtraRatio: 0.2, ExtraSlack: 104})
 	e.SetWorld(NewWorld(table, targetsOf(names...), nil, fleetOf(hosts)))
 	return e, table
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -69,6 +69,10 @@
 		f.refuse(w, r, fault.New(fault.NotFound, fault.NotRun, "use a host name and path of the configuration", "no route"))
 		return
 	}
+	if limit := world.Table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		f.refuse(w, r, fault.New(fault.TooLarge, fault.NotRun, "send shorter headers", "the headers have more than %d bytes", limit))
+		return
+	}
 	body, err := readBody(w, r, world.Table.Limits)
 	if err != nil {
 		f.refuse(w, r, err)
@@ -154,6 +158,18 @@
 	return route.Timeout
 }
 
+// headerBytes returns the length of the request line and the headers on the wire.
+func headerBytes(r *http.Request) int {
+	const lineEnds, separators = 2, 4
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineEnds + len("Host: ") + len(r.Host) + lineEnds
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + separators
+		}
+	}
+	return total
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, limits routing.ClientLimits) ([]byte, *fault.Error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -10,6 +10,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/lastanswer"
 )
 
 const (
@@ -73,27 +74,10 @@
 		s.running.Add(1)
 		defer s.running.Add(-1)
 		s.lastSeen.Store(time.Now().UnixNano())
-		next.ServeHTTP(&closing{ResponseWriter: w, stopper: s}, r)
+		next.ServeHTTP(lastanswer.Writer(w, s.isStopping), r)
 	})
 }
 
-// closing closes the connection after an answer that is written while the host stops.
-type closing struct {
-	http.ResponseWriter
-	stopper *stopper
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (c *closing) WriteHeader(status int) {
-	if c.stopper.isStopping() {
-		c.Header().Set("Connection", "close")
-	}
-	c.ResponseWriter.WriteHeader(status)
-}
-
-// Unwrap gives http.ResponseController the connection.
-func (c *closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
-
 // run takes the host out of service: not ready and leaving, then a wait for the balancer and for callers that still use their
 // connections, then the end of the listener and of idle connections.
 func (s *stopper) run(ctx context.Context, logger *zap.Logger, server *http.Server, leave func(context.Context)) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -49,8 +49,6 @@
 	ID model.ServiceID
 	// MaxConnections is the number of connections that one target accepts from all hosts together; 0 means no limit.
 	MaxConnections int
-	// ColdTime is the time after its start for which a target is cold.
-	ColdTime time.Duration
 	// ColdRate is the number of requests a second, from all hosts together, that a cold target bears; 0 means no limit.
 	ColdRate float64
 }
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -12,6 +12,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
+	"github.com/knapweedrouter/knapweedrouter/internal/lastanswer"
 )
 
 const (
@@ -74,7 +75,7 @@
 			return
 		}
 		defer s.leave()
-		next.ServeHTTP(&closing{ResponseWriter: w, stopper: s}, r)
+		next.ServeHTTP(lastanswer.Writer(w, func() bool { return s.ready() != nil }), r)
 	})
 }
 
@@ -88,23 +89,6 @@
 	next.ServeHTTP(w, r)
 }
 
-// closing closes the connection after an answer that is written while the host stops.
-type closing struct {
-	http.ResponseWriter
-	stopper *stopper
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (c *closing) WriteHeader(status int) {
-	if c.stopper.ready() != nil {
-		c.Header().Set("Connection", "close")
-	}
-	c.ResponseWriter.WriteHeader(status)
-}
-
-// Unwrap gives http.ResponseController the connection.
-func (c *closing) Unwrap() http.ResponseWriter { return c.ResponseWriter }
-
 // enter counts a request, unless it is to be refused for the reason.
 func (s *stopper) enter() (phase stopPhase, reason *fault.Error) {
 	s.mu.Lock()
