Let news of other relays not be put off by later news

Four relays were cut from the store in silence; the timer after which a relay that is behind asks the others began anew with each notice, and servers of a reshard changed keys every 0.25 s, so it ran out only 3.5 s later. Ruled out: the notices (they came), the pulling host. Change: the time runs from the first notice. TestRelayWhoseCallsHangIsNoticed with other keys changing failed before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -452,6 +452,22 @@
 		for i := range 8 {
 			d.requireLearnt(fmt.Sprint("after", i), 1500*time.Millisecond)
 		}
+		// Other keys that change all the time must not put the news off.
+		stop := make(chan struct{})
+		go func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(200 * time.Millisecond):
+					d.store.put("other", fmt.Sprint(i))
+				}
+			}
+		}()
+		defer close(stop)
+		for i := range 8 {
+			d.requireLearnt(fmt.Sprint("busy", i), 2*time.Second)
+		}
 	})
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -33,20 +33,27 @@
 		changes, revision, err := r.cfg.Feed.Changes(ctx, prefix, after, wait)
 		results <- watched{changes, revision, err}
 	}()
+	// The time runs from the first notice: later ones must not put it off.
 	behind := time.NewTimer(behindLimit)
 	defer behind.Stop()
+	waiting := true
 	for {
 		select {
 		case got := <-results:
 			return got.changes, got.revision, got.err
 		case <-r.noticed:
-			behind.Reset(behindLimit)
+			if !waiting {
+				waiting = true
+				behind.Reset(behindLimit)
+			}
 		case <-behind.C:
+			waiting = false
 			if r.newest.Load() <= uint64(after) {
 				continue
 			}
 			reply, err := r.ask(ctx, pull{After: after}, isAhead)
 			if err != nil && !errors.Is(err, store.ErrHistoryLost) {
+				waiting = true
 				behind.Reset(behindLimit)
 				continue
 			}
