Let a relay that the store refuses follow another relay

Cause: read in the code: a relay that the store turns away alone told its pullers so, but kept its own copy until its lease ended after 9 s. TestHostsMoveToAnotherRelay asks the refused relays too now, and failed before; it also bounds their calls. Ruled out: refused relays pulling from each other (they answer no pulls). Change: after a refused call the changes come from another relay, with the wait of the call.

--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/budget"
@@ -81,7 +82,7 @@
 	var bestState *targetState
 	var bestCost time.Duration
 	for _, id := range w.Eligible(model.ServiceID(part.ID)) {
-		if contains(exclude, id) {
+		if slices.Contains(exclude, id) {
 			continue
 		}
 		t := w.registered[id]
@@ -105,15 +106,6 @@
 	return best, bestState
 }
 
-func contains(ids []model.TargetID, id model.TargetID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // HedgeDelay implements scatter.Picker.
 func (p *picker) HedgeDelay(*snapshot.Part) time.Duration {
 	e := p.engine
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,7 +55,10 @@
 	answered atomic.Int64
 	patience time.Duration
 	// newest is the highest revision that another relay has; noticed receives when it rises.
-	newest  atomic.Uint64
+	newest atomic.Uint64
+	// refused tells that the last call of this relay to the store failed. It follows other relays then, and answers no pulls, so
+	// that relays which the store refuses do not wait for each other.
+	refused atomic.Bool
 	noticed chan struct{}
 }
 
@@ -165,7 +168,7 @@
 	if err := decode(&p); err != nil {
 		return nil, err
 	}
-	if !r.IsRelay() {
+	if !r.IsRelay() || r.refused.Load() {
 		return pullReply{Status: pullAway}, nil
 	}
 	r.directory.pulled(from.Host, time.Now())
@@ -203,7 +206,10 @@
 	if r.followsStore() {
 		entries, revision, err := r.cfg.Feed.List(ctx, prefix)
 		r.learnt(err)
-		return entries, revision, err
+		r.setRefused(err != nil)
+		if err == nil {
+			return entries, revision, nil
+		}
 	}
 	reply, err := r.ask(ctx, pull{}, isAny)
 	return reply.Entries, reply.Revision, err
@@ -229,6 +235,13 @@
 	return alone && r.slot.hasLooked()
 }
 
+// setRefused notes whether the store answers this relay. Pulls that wait here end when it no longer does.
+func (r *Relay) setRefused(refused bool) {
+	if r.refused.Swap(refused) != refused {
+		r.log.setAway(refused)
+	}
+}
+
 // learnt notes an answer of the store, which tells who the relays are: they are asked next.
 func (r *Relay) learnt(err error) {
 	if err == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -411,8 +411,15 @@
 	require.Equal(t, reads[10], reads[60])
 }
 
+// requireCallsBounded checks that hosts which the store refuses do not call it all the time.
+func (d *deployment) requireCallsBounded(hosts []*host, span time.Duration) {
+	before := d.totalReads()
+	time.Sleep(span)
+	require.LessOrEqual(d.t, d.totalReads()-before, 3*len(d.hosts)+8*len(hosts))
+}
+
 // TestHostsMoveToAnotherRelay guards against hosts that miss changes because their relay was killed, or because the store
-// turns their relay away.
+// turns their relay away, the relay itself included.
 func TestHostsMoveToAnotherRelay(t *testing.T) {
 	for _, refuse := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
@@ -429,7 +436,10 @@
 				d.store.refuses[victim.cfg.Host] = true
 				d.store.mu.Unlock()
 			}
-			d.requireLearnt("after", 2500*time.Millisecond, victims...)
+			d.requireLearnt("after", 2500*time.Millisecond)
+			if refuse {
+				d.requireCallsBounded(victims, 10*time.Second)
+			}
 			time.Sleep(slotTTL + 2*reluctantWait + 3*time.Second)
 			require.GreaterOrEqual(t, len(d.relays()), 2*slotsPerDataCentre, "the free slots are taken")
 		})
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -24,7 +24,8 @@
 	err      error
 }
 
-// watch waits for changes at the store. If other relays are ahead for a time meanwhile, the changes come from them.
+// watch waits for changes at the store. If the store refuses, or other relays are ahead for a time, the
+// changes come from them.
 func (r *Relay) watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -40,7 +41,17 @@
 	for {
 		select {
 		case got := <-results:
-			return got.changes, got.revision, got.err
+			refused := got.err != nil && !errors.Is(got.err, store.ErrHistoryLost)
+			r.setRefused(refused)
+			if !refused {
+				return got.changes, got.revision, got.err
+			}
+			// The store may turn only this host away. The pull waits like the call, so that refused calls stay few.
+			reply, err := r.ask(ctx, pull{After: after, Wait: wait}, isAny)
+			if err != nil {
+				return nil, 0, errors.Join(got.err, err)
+			}
+			return reply.Changes, reply.Revision, nil
 		case <-r.noticed:
 			if !waiting {
 				waiting = true
