Give no port out twice in the process tests

A port was looked up as free, closed, and given out again by the kernel. Ruled out: load (the host ended at once with that fault). Change: ports come from a count below the ephemeral ones, each once.

--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -369,11 +370,21 @@
 	require.Equal(c.t, http.StatusOK, response.StatusCode)
 }
 
+// nextPort is the last port that freeAddress has given out. Ports below the ephemeral ones are not taken by outgoing connections,
+// and none is given out twice.
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address whose port is free.
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	nextPort.CompareAndSwap(0, int32(10000+os.Getpid()%500*20))
+	for range 1000 {
+		port := int(nextPort.Add(1))
+		if arePortsFree(port, 1) {
+			return fmt.Sprintf("127.0.0.1:%d", port)
+		}
+	}
+	require.FailNow(t, "no free ports")
+	return ""
 }
 
 // freePorts returns the first of count free ports in a row.
