--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -107,7 +107,7 @@
 
 // restore returns the request that another host has handed on, or the reason why this host does not carry it out.
 func (f *front) restore(message *gatherRequest) (*forward.Request, string) {
-	if err := f.stopper.refusal(); err != nil || f.stopper.isStopping() {
+	if f.stopper.isStopping() {
 		return nil, "this host is stopping"
 	}
 	world := f.engine.World()
@@ -135,8 +135,8 @@
 	}, ""
 }
 
-// callerContext returns the context that ends when the caller goes away or the host stops. A request that may not be repeated goes on to its
-// end: its target may complete it anyway, and breaking it off would leave the outcome unknown.
+// callerContext returns the context that ends when the caller goes away or the host stops. A request that may not be repeated
+// goes on to its end: its target may complete it anyway, and breaking it off would leave the outcome unknown.
 func (f *front) callerContext(r *http.Request, route *routing.Route) (context.Context, func()) {
 	parent := r.Context()
 	if !route.Repeatable {
