Ping a peer that holds a call

The link pings a peer only while a frame is unanswered, and the pong to that ping had come before the freeze, so the pull waited for its own timeout of 4.6 s. Ruled out: the store (it had served the frozen relay), the relays that the store turned away (they answered at once), the order in which relays are asked. Change: a link whose peer holds a call pings it whenever half of the silence has passed without a frame. The times are read with monotime, because a jump of the time of day closed or kept silent links.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -15,6 +15,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
 // call is a request that waits for its reply. It is finished once.
@@ -65,9 +66,11 @@
 	mu      sync.Mutex
 	pending map[uint64]*call
 
-	// unanswered is the time in nanoseconds of the first write after the last received frame; 0 if there is none.
+	// unanswered is the time of the first write after the last received frame, as monotime reads it; 0 if there is none.
 	unanswered atomic.Int64
-	proved     atomic.Bool // the connection has carried a frame of the peer
+	// received is the time of the last received frame, as monotime reads it.
+	received atomic.Int64
+	proved   atomic.Bool // the connection has carried a frame of the peer
 }
 
 func newLink(t *FrameTransport, address string) *link {
@@ -130,6 +133,7 @@
 	}
 	t.stats.connects.Add(1)
 	l.unanswered.Store(0)
+	l.received.Store(int64(monotime.Now()))
 	l.proved.Store(false)
 	l.serve(ctx, connection, first)
 	return l.proved.Load()
@@ -171,9 +175,13 @@
 				t.stats.silent.Add(1)
 				return
 			}
-			if silent < t.cfg.Silence/2 {
+			switch {
+			case silent == 0 && l.holdsQuietCall():
+				// The peer may freeze after it has accepted a call: the ping makes its silence visible.
+				pinged = l.ping(connection)
+			case silent < t.cfg.Silence/2:
 				pinged = false
-			} else if !pinged {
+			case !pinged:
 				pinged = l.ping(connection)
 			}
 		case <-readerDone:
@@ -190,12 +198,26 @@
 	if since == 0 {
 		return 0
 	}
-	return time.Duration(time.Now().UnixNano() - since)
+	return monotime.Now() - time.Duration(since)
+}
+
+// holdsQuietCall tells whether the peer holds a call and has given no sign of life for half of the silence.
+func (l *link) holdsQuietCall() bool {
+	if quiet := monotime.Now() - time.Duration(l.received.Load()); quiet < l.transport.cfg.Silence/2 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) > 0
 }
 
 func (l *link) ping(connection net.Conn) bool {
 	frame, err := l.transport.seal(0, kindPing, nil)
-	return err == nil && l.transport.writeFrame(connection, frame) == nil
+	if err != nil {
+		return false
+	}
+	l.unanswered.CompareAndSwap(0, int64(monotime.Now()))
+	return l.transport.writeFrame(connection, frame) == nil
 }
 
 // write sends one frame. It returns false if the connection failed.
@@ -203,7 +225,7 @@
 	if out.call != nil && !l.register(out) {
 		return true
 	}
-	l.unanswered.CompareAndSwap(0, time.Now().UnixNano())
+	l.unanswered.CompareAndSwap(0, int64(monotime.Now()))
 	return l.transport.writeFrame(connection, out.frame) == nil
 }
 
@@ -243,6 +265,7 @@
 			return
 		}
 		l.unanswered.Store(0)
+		l.received.Store(int64(monotime.Now()))
 		l.proved.Store(true)
 		l.deliver(e)
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -44,7 +44,7 @@
 	DialTimeout  time.Duration
 	WriteTimeout time.Duration
 	// Silence is the time without a frame from the peer after which a connection with unanswered frames is replaced.
-	// After half of it the transport asks for a sign of life.
+	// After half of it the transport asks for a sign of life, and at that interval from a peer that holds a call.
 	Silence time.Duration
 	// Idle is the time without a frame to the peer after which the connection is closed.
 	Idle time.Duration
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -195,6 +195,20 @@
 	})
 }
 
+// Guards against a call that waits for its own timeout at a peer which froze after it had accepted the call.
+func TestPeerThatFallsSilentWhileItHoldsACallIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		a := start(t, network, "a", 1, "a", newKey)
+		start(t, network, "b", 1, "b", newKey)
+		time.AfterFunc(1200*time.Millisecond, func() { network.Silence("b") })
+		began := time.Now()
+		require.ErrorIs(t, a.Call(t.Context(), "b", "slow", text{}, &text{}), peer.ErrNoReply)
+		require.Less(t, time.Since(began), 2200*time.Millisecond, "twice the silence after the peer fell silent")
+		require.EqualValues(t, 1, a.Stats().Silent)
+	})
+}
+
 // Guards against a queue that grows while the peer can't be reached, and against connecting without a pause.
 func TestUnreachablePeerIsTriedWithBackoffAndBoundedQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
