Measure waits on the monotonic clock only

Cause: times kept in atomic integers were nanoseconds of the time of day, which jumps on some hosts. A jump ahead ended the quiet time of a planned stop at once and made a host follow the store alone; a jump back kept a stopping host from being quiet. Change: package monotime; the stop, the relay and the target client use it.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,6 +11,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/lastanswer"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
 const (
@@ -34,7 +35,7 @@
 	stopping atomic.Bool
 	refusing atomic.Bool
 	running  atomic.Int64
-	lastSeen atomic.Int64 // in ns since the epoch
+	lastSeen atomic.Int64 // as monotime reads it
 	done     chan struct{}
 	// final ends with the cause errStopping when requests in progress have to be answered.
 	final    context.Context
@@ -73,7 +74,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.running.Add(1)
 		defer s.running.Add(-1)
-		s.lastSeen.Store(time.Now().UnixNano())
+		s.lastSeen.Store(int64(monotime.Now()))
 		next.ServeHTTP(lastanswer.Writer(w, s.isStopping), r)
 	})
 }
@@ -83,7 +84,7 @@
 func (s *stopper) run(ctx context.Context, logger *zap.Logger, server *http.Server, leave func(context.Context)) {
 	defer close(s.done)
 	started := time.Now()
-	s.lastSeen.Store(started.UnixNano())
+	s.lastSeen.Store(int64(monotime.Now()))
 	s.stopping.Store(true)
 	logger.Info("planned stop: not ready", zap.Int64("in_progress", s.running.Load()))
 	go leave(ctx)
@@ -108,7 +109,7 @@
 func (s *stopper) isQuiet(started time.Time) bool {
 	now := time.Now()
 	return now.Sub(started) >= balancerWait && s.running.Load() == 0 &&
-		now.Sub(time.Unix(0, s.lastSeen.Load())) >= quietTime
+		monotime.Now()-time.Duration(s.lastSeen.Load()) >= quietTime
 }
 
 // wait returns when a planned stop that has begun is complete.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
@@ -51,7 +52,7 @@
 	directory *directory
 	log       *changeLog
 	slot      *slotKeeper
-	// answered is the time of the last answer of a relay, in ns since the epoch; patience is added to aloneTime.
+	// answered is the time of the last answer of a relay, as monotime reads it; patience is added to aloneTime.
 	answered atomic.Int64
 	patience time.Duration
 	// newest is the highest revision that another relay has; noticed receives when it rises.
@@ -74,7 +75,7 @@
 		noticed:   make(chan struct{}, 1),
 	}
 	r.slot = newSlotKeeper(logger, cfg, self, r.directory)
-	r.answered.Store(time.Now().UnixNano())
+	r.answered.Store(int64(monotime.Now()))
 	cfg.Transport.Handle(kindPull, r.handlePull)
 	cfg.Transport.Handle(kindCensus, r.handleCensus)
 	return r
@@ -231,7 +232,7 @@
 	if r.IsRelay() {
 		return true
 	}
-	alone := time.Since(time.Unix(0, r.answered.Load())) > aloneTime+r.patience
+	alone := monotime.Now()-time.Duration(r.answered.Load()) > aloneTime+r.patience
 	return alone && r.slot.hasLooked()
 }
 
@@ -245,7 +246,7 @@
 // learnt notes an answer of the store, which tells who the relays are: they are asked next.
 func (r *Relay) learnt(err error) {
 	if err == nil {
-		r.answered.Store(time.Now().UnixNano())
+		r.answered.Store(int64(monotime.Now()))
 	}
 }
 
@@ -264,7 +265,7 @@
 			r.directory.failed(relay.Host, time.Now())
 			continue
 		}
-		r.answered.Store(time.Now().UnixNano())
+		r.answered.Store(int64(monotime.Now()))
 		if !isUseful(&reply) {
 			continue
 		}
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
 const (
@@ -21,7 +23,7 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	opened time.Time
-	// active is the time of the last whole reply, in ns since the epoch.
+	// active is the time of the last whole reply, as monotime reads it.
 	active atomic.Int64
 	// expected is the request whose reply may come.
 	expected atomic.Pointer[http.Request]
@@ -49,7 +51,7 @@
 		replies: make(chan received, 1),
 		ended:   make(chan struct{}),
 	}
-	c.active.Store(c.opened.UnixNano())
+	c.active.Store(int64(monotime.Now()))
 	return c
 }
 
@@ -71,7 +73,7 @@
 		if err != nil {
 			return
 		}
-		c.active.Store(time.Now().UnixNano())
+		c.active.Store(int64(monotime.Now()))
 		c.replies <- reply
 		if reply.last {
 			return
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/wire"
 )
 
@@ -252,12 +253,13 @@
 // suspect notes that a connection has been silent since the given time. Idle connections without a reply since then are
 // retired with it, because connections often fall silent together.
 func (p *pool) suspect(since time.Time) {
+	silent := monotime.Now() - time.Since(since)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.suspectSince = time.Now()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.active.Load() < since.UnixNano() {
+		if time.Duration(c.active.Load()) < silent {
 			c.conn.Close()
 			p.open--
 			p.counters.Retired.Add(1)
