Let requests wait for the configuration of a starting host

Ruled out: slow learning (the median host had its configuration 0.12 s after its start, the slowest 0.6 s), the store. Change: within 2 s of its start a host lets a request wait for the configuration, for 0.7 s or 0.3 of the caller's time at most; likewise a request that needs a later configuration than this host has. After that it refuses as before. Test: TestRequestWaitsForTheConfigurationOfAStartingHost, 503 before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,6 +62,8 @@
 	cfg   Config
 	start time.Time
 	world atomic.Pointer[World]
+	// changed is closed when the next world is in force. It belongs to the mutex.
+	changed chan struct{}
 	// tasks are attempts, which may outlast their request.
 	tasks conc.WaitGroup
 
@@ -83,6 +85,7 @@
 		routes:   map[string]*replica.Sketch{},
 		splitter: routing.NewSplitter(),
 		crashes:  crashes{suspects: map[uint64]*suspect{}},
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -91,11 +94,20 @@
 // World returns the configuration and targets in force, or nil.
 func (e *Engine) World() *World { return e.world.Load() }
 
+// Watch returns the configuration and targets in force, or nil, and a channel that is closed when others are.
+func (e *Engine) Watch() (*World, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.world.Load(), e.changed
+}
+
 // SetWorld puts a configuration and set of targets in force and drops the state of what it does not name.
 func (e *Engine) SetWorld(w *World) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.world.Store(w)
+	close(e.changed)
+	e.changed = make(chan struct{})
 	e.splitter.Keep(w.Table)
 	for id, t := range e.targets {
 		if _, ok := w.registered[id]; !ok && t.pace.InFlight() == 0 {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -49,6 +49,8 @@
 	observe *observer
 	stopper *stopper
 	hop     *hop
+	// started is the start of the process.
+	started time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -58,8 +60,12 @@
 		f.refuse(w, r, err)
 		return
 	}
-	world := f.engine.World()
-	if world == nil || world.Table.Generation < f.hop.least() {
+	allowed, named := f.dialect.Allowed(r.Header)
+	if !named {
+		allowed = usualAllowed
+	}
+	world := f.world(r.Context(), allowed)
+	if world == nil {
 		f.refuse(w, r, fault.New(fault.NotReady, fault.NotRun, "use another host",
 			"this host does not have the configuration yet").WithRetryAfter(notReadyRetry))
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 		OlderIncarnation: func(known model.Incarnation) { peers.SetIncarnation(known + 1) },
 	})
 	stopper := newStopper(s.StopSeconds)
-	callers := &front{dialect: p.Callers, engine: engine, observe: observe, stopper: stopper}
+	callers := &front{dialect: p.Callers, engine: engine, observe: observe, stopper: stopper, started: time.Now()}
 	callers.hop = newHop(logger, peers, relays, callers)
 	observe.spread = callers.hop.spread
 	return &Gateway{
