Let only some relays follow the store; the others follow those

Change: of each data centre's relays those with the lowest slots lead, so many that three lead in all; the others pull from them and go to the store themselves when none of them answers. Only leaders tell the others how far they are. Tests: TestOnlyLeadersFollowTheStore (calls, and the loss of all leaders), the relay tests before.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -18,6 +18,9 @@
 	// censusMemory is the time for which the count of a relay, and the number of hosts, is kept: what hosts that have gone
 	// spent of shared budgets counts for as long.
 	censusMemory = 15 * time.Second
+	// minLeaders is the least number of relays, of all data centres together, that follow the store themselves: two of them
+	// may be cut off at once without a sign, and the news of the third shows it.
+	minLeaders = 3
 )
 
 // directory holds the known relays and the number of hosts. It is safe for concurrent use.
@@ -128,6 +131,31 @@
 	return all
 }
 
+// leaders returns the relays of this host's data centre that follow the store themselves: those with the lowest slots. The
+// other relays follow them, so that the calls to the store stay few.
+func (d *directory) leaders() []record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dataCentres := map[model.DataCentreID]bool{d.self.DataCentre: true}
+	var keys []string
+	for key, r := range d.slots {
+		if r.Leaving {
+			continue
+		}
+		dataCentres[r.DataCentre] = true
+		if r.DataCentre == d.self.DataCentre {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	each := (minLeaders + len(dataCentres) - 1) / len(dataCentres)
+	var leaders []record
+	for _, key := range keys[:min(each, len(keys))] {
+		leaders = append(leaders, d.slots[key])
+	}
+	return leaders
+}
+
 // failed notes that a relay did not answer.
 func (d *directory) failed(host model.HostID, now time.Time) {
 	d.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -184,12 +185,14 @@
 	r.log.reset(entries)
 }
 
-// Apply takes changes that this host has learnt. A relay tells the others how far it is, so that one whose calls to the store
-// hang notices.
+// Apply takes changes that this host has learnt. A leader tells the other relays how far it is, so that one whose calls to the
+// store hang notices.
 func (r *Relay) Apply(changes []store.Change) {
 	r.directory.apply(changes)
 	r.log.apply(changes)
-	r.sendCensus()
+	if r.isLeader() {
+		r.sendCensus()
+	}
 }
 
 // Lost notes that neither a relay nor the store answers this host.
@@ -218,6 +221,14 @@
 
 // Changes waits for changes after the revision, at the store or a relay.
 func (r *Relay) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
+	if leaders := r.leaders(); len(leaders) > 0 {
+		reply, err := r.askEach(ctx, leaders, pull{After: after, Wait: wait}, isAny)
+		if !errors.Is(err, errNoRelay) || ctx.Err() != nil {
+			r.setRefused(err != nil && !errors.Is(err, store.ErrHistoryLost))
+			return reply.Changes, reply.Revision, err
+		}
+		wait = 0 // most of the time that this call may take can be over
+	}
 	if r.followsStore() {
 		changes, revision, err := r.watch(ctx, prefix, after, wait)
 		r.learnt(err)
@@ -253,9 +264,28 @@
 // isAny takes each answer as useful.
 func isAny(*pullReply) bool { return true }
 
+// isLeader tells whether this relay follows the store itself while it can.
+func (r *Relay) isLeader() bool {
+	return slices.ContainsFunc(r.directory.leaders(), func(leader record) bool { return leader.Host == r.cfg.Host })
+}
+
+// leaders returns the relays from which this one learns changes; none if it leads itself, if none of them has answered lately, or
+// if it is no relay.
+func (r *Relay) leaders() []record {
+	if !r.IsRelay() || r.isLeader() {
+		return nil
+	}
+	now := time.Now()
+	return slices.DeleteFunc(r.directory.leaders(), func(leader record) bool { return r.directory.isAvoided(leader.Host, now) })
+}
+
 // ask pulls from the relays in turn until one gives a useful answer.
 func (r *Relay) ask(ctx context.Context, p pull, isUseful func(*pullReply) bool) (pullReply, error) {
-	for _, relay := range r.directory.relays(time.Now()) {
+	return r.askEach(ctx, r.directory.relays(time.Now()), p, isUseful)
+}
+
+func (r *Relay) askEach(ctx context.Context, relays []record, p pull, isUseful func(*pullReply) bool) (pullReply, error) {
+	for _, relay := range relays {
 		reply, err := r.call(ctx, relay, p)
 		if ctx.Err() != nil {
 			break
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -411,6 +411,27 @@
 	require.Equal(t, reads[10], reads[60])
 }
 
+// TestOnlyLeadersFollowTheStore guards the price of the store: the other relays have their changes from the leaders of their data
+// centre, and go to the store themselves when those are gone.
+func TestOnlyLeadersFollowTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		before := d.totalReads()
+		for i := range 10 {
+			d.requireLearnt(fmt.Sprint(i), time.Second)
+		}
+		const leaders, idleCalls = 4, 4
+		require.LessOrEqual(t, d.totalReads()-before, leaders*(10+idleCalls))
+		for _, h := range d.relays() {
+			if h.isLeader() {
+				d.kill(h)
+			}
+		}
+		d.requireLearnt("after", 2500*time.Millisecond)
+	})
+}
+
 // requireCallsBounded checks that hosts which the store refuses do not call it all the time.
 func (d *deployment) requireCallsBounded(hosts []*host, span time.Duration) {
 	before := d.totalReads()
