Explain a request from the logs alone; name a request's host name authority in the log

Cause: explain reads the records of serve only, so a failure at a gateway had to be traced by hand; and the line of a refusal without a trace had the key host twice, the host and the caller's Host header, so that readers of JSON saw the wrong host.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -7,7 +7,6 @@
 	"syscall"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/gateway"
 	"github.com/knapweedrouter/knapweedrouter/internal/logring"
@@ -42,7 +41,7 @@
 		close(stopLog)
 		<-logEnded
 	}()
-	logger := newLineLogger(ring).With(zap.String("host", string(s.HostID)))
+	logger := logring.NewLogger(ring).With(zap.String("host", string(s.HostID)))
 	g, err := gateway.New(logger, s, ring.Dropped, func(observed gateway.StoreObserver) gateway.Platform {
 		return gateway.Platform{
 			Feed:      platform.NewStore(s.StoreAddress, observed),
@@ -82,11 +81,3 @@
 	}()
 	return asked
 }
-
-// newLineLogger returns a logger of one JSON object a line.
-func newLineLogger(out zapcore.WriteSyncer) *zap.Logger {
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncodeDuration = zapcore.MillisDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, zapcore.InfoLevel))
-}
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -12,6 +12,7 @@
 func addStateCommands(parent registry) {
 	parent.add("state", "Print the state of a host as JSON", &stateCommand{})
 	parent.add("explain", "Tell how a recent query went", &explainCommand{})
+	parent.add("explain-log", "Tell from the logs of gateways how a request went", &explainLogCommand{})
 }
 
 type stateCommand struct {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -210,7 +210,7 @@
 // refused notes a refusal for which no target was asked. The others have a trace.
 func (o *observer) refused(id, host, path string, err *fault.Error) {
 	if o.lines.Allow() {
-		o.logger.Info("request refused", zap.String("id", id), zap.String("host", host), zap.String("path", path),
+		o.logger.Info("request refused", zap.String("id", id), zap.String("authority", host), zap.String("path", path),
 			zap.String("kind", string(err.Kind)), zap.String("execution", string(err.Execution)), zap.String("reason", err.Message))
 	}
 }
