Wait for connections instead of spending attempts; count what arrives against the budget

Each request spent its attempts on targets whose connections were in use, retries of attempts that had never been sent took the budget, and requests with 11 of 15 shards waited 1.6 s for it. On the other hand an attempt after a refusal as another instance (421), which counts as an arrival, cost no budget. Ruled out: too few connections (270 a shard for 18 slots), too small a budget (469 refusals for attempts that were not sent). Change: the engine leaves out targets with as many attempts in flight as connections, returns the budget of attempts that were not sent, and takes budget for each attempt of a part of which another one has arrived, whatever its kind. Tests: TestFullTargetsAreWaitedFor, TestAttemptsThatWereNotSentCostNoBudget, TestAttemptsAfterAnArrivalCostBudget; all three fail before.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -436,3 +436,108 @@
 		e.Wait()
 	})
 }
+
+// TestFullTargetsAreWaitedFor guards against a crowd that spends its attempts and its budget on targets whose connections are all
+// in use, and then waits for budget until it is late.
+func TestFullTargetsAreWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		running := map[model.TargetID]int{}
+		full := 0
+		fleet := &fleet{}
+		fleet.behave = func(a *exchange.Attempt) (time.Duration, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if running[a.Target] >= a.MaxConnections {
+				full++
+				return 0, targetclient.ErrNotSent
+			}
+			running[a.Target]++
+			time.AfterFunc(5*ms, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				running[a.Target]--
+			})
+			return 5 * ms, nil
+		}
+		route := gatherRoute(4)
+		services := []routing.Service{}
+		names := []model.ServiceID{}
+		for i := range 4 {
+			services = append(services, routing.Service{ID: shardName(i), MaxConnections: 2})
+			names = append(names, shardName(i))
+		}
+		table, err := routing.New(1, []routing.Route{route}, services, routing.ClientLimits{})
+		require.NoError(t, err)
+		e := New(Config{Client: fleet, Host: "host"})
+		e.SetWorld(NewWorld(table, targetsOf(names...), nil, fleetOf(1)))
+		var waiting sync.WaitGroup
+		for i := range 6 {
+			waiting.Go(func() {
+				outcome := e.Do(t.Context(), request(fmt.Sprint(i), &table.Routes[0]))
+				if outcome.Err == nil {
+					require.Equal(t, 4, countReplies(outcome.Replies))
+				}
+				require.Nil(t, outcome.Err)
+			})
+		}
+		waiting.Wait()
+		e.Wait()
+		require.Zero(t, full, "attempts at targets whose connections were in use")
+	})
+}
+
+// TestAttemptsThatWereNotSentCostNoBudget guards against requests that fail for want of budget although no target has got them.
+func TestAttemptsThatWereNotSentCostNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusals := map[string]int{}
+		var mu sync.Mutex
+		fleet := &fleet{behave: func(a *exchange.Attempt) (time.Duration, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if refusals[a.Request.ID]++; refusals[a.Request.ID] <= replicas+1 {
+				return ms, targetclient.ErrNotSent
+			}
+			return 10 * ms, nil
+		}}
+		e, table := newEngine(t, fleet, 1, 0, singleRoute(true))
+		e.SetBudget(0, 0)
+		for i := range 20 {
+			require.Nil(t, e.Do(t.Context(), request(fmt.Sprint(i), &table.Routes[0])).Err)
+		}
+		e.Wait()
+	})
+}
+
+// TestAttemptsAfterAnArrivalCostBudget guards against attempts without bound at targets that refuse a request, between attempts at
+// targets that cannot be reached.
+func TestAttemptsAfterAnArrivalCostBudget(t *testing.T) {
+	for _, refusal := range []error{targetclient.ErrShed, targetclient.ErrDraining} {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := &fleet{behave: func(a *exchange.Attempt) (time.Duration, error) {
+				switch a.Target {
+				case "single-0":
+					return ms, targetclient.ErrShed
+				case "single-1":
+					return ms, refusal
+				}
+				return ms, targetclient.ErrNotSent
+			}}
+			e, table := newEngine(t, fleet, 1, 0, singleRoute(true))
+			e.SetBudget(0, 0)
+			for i := range 20 {
+				require.NotNil(t, e.Do(t.Context(), request(fmt.Sprint(i), table.Match("h", "/s/"))).Err)
+			}
+			e.Wait()
+			arrived := map[string]int{}
+			for _, a := range fleet.arrivals {
+				if a.target != "single-2" {
+					arrived[a.id]++
+				}
+			}
+			for id, count := range arrived {
+				require.Equal(t, 1, count, id)
+			}
+		})
+	}
+}
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -48,11 +48,13 @@
 	defer e.mu.Unlock()
 	w := e.world.Load()
 	service := e.service(model.ServiceID(part.ID), w.Fleet.Part)
-	if kind.Extra() && service.extra.Tokens() < 1 {
+	extra := p.isExtra(part.ID, kind)
+	if extra && service.extra.Tokens() < 1 {
 		p.run.trace.BudgetRefusals++
 		return "", scatter.NoBudget
 	}
-	chosen, state := p.best(now, w, part, service, exclude, kind)
+	limit := connections(w.Table.Services[model.ServiceID(part.ID)], w.Fleet.Part)
+	chosen, state := p.best(now, w, part, service, exclude, kind, limit)
 	if state == nil {
 		return "", scatter.NoTarget
 	}
@@ -60,7 +62,7 @@
 		p.run.earned[part.ID] = true
 		service.extra.Earn()
 	}
-	if kind.Extra() {
+	if extra {
 		service.extra.Take()
 	}
 	estimate := state.pace.Estimate(now, service.latency.Median(now))
@@ -70,15 +72,25 @@
 		state:       state,
 		service:     service,
 		estimate:    estimate,
-		connections: connections(w.Table.Services[chosen.Service], w.Fleet.Part),
+		connections: limit,
+		part:        part.ID,
+		extra:       extra,
 	})
 	return chosen.Target, scatter.Picked
 }
 
+// isExtra tells whether the attempt would arrive at a target beside or after another one of the same part, one that refused the
+// part included. An attempt after those that were not sent is the first to arrive.
+func (p *picker) isExtra(part model.ShardID, kind scatter.Kind) bool {
+	beside := kind == scatter.Hedge || kind == scatter.LateHedge
+	return beside || kind != scatter.First && p.run.reached[part]
+}
+
 // best returns the eligible target with the least expected time. Targets that failed a short time ago come last; a hedge
-// is not sent to them at all, because it would waste the budget.
+// is not sent to them at all, because it would waste the budget. A target at which as many attempts as connections are in
+// flight is left out: limit is their number, 0 without one.
 func (p *picker) best(now time.Duration, w *World, part *snapshot.Part, service *serviceState, exclude []model.TargetID,
-	kind scatter.Kind) (registry.Target, *targetState) {
+	kind scatter.Kind, limit int) (registry.Target, *targetState) {
 	e := p.engine
 	usual := service.latency.Median(now)
 	var best registry.Target
@@ -90,6 +102,9 @@
 		}
 		t := w.registered[id]
 		state := e.target(&t)
+		if limit > 0 && state.pace.InFlight() >= limit {
+			continue
+		}
 		cost := state.pace.Cost(now, usual, t.Slots)
 		if t.DataCentre != e.cfg.DataCentre {
 			cost += time.Duration(remoteShare * float64(usual))
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -50,6 +50,9 @@
 	service     *serviceState
 	estimate    time.Duration
 	connections int
+	part        model.ShardID
+	// extra tells that the attempt took from the budget.
+	extra bool
 }
 
 // run is one request on its way. Its fields belong to the goroutine of the request.
@@ -59,6 +62,8 @@
 	machine *scatter.Machine
 	places  []place // by number of the attempt
 	earned  map[model.ShardID]bool
+	// reached holds the parts of which a target has got an attempt that has ended. It belongs to the engine's mutex.
+	reached map[model.ShardID]bool
 	events  chan event
 	over    chan struct{}
 	// attempts is the context of all attempts; cancel ends it.
@@ -95,6 +100,7 @@
 		request: request,
 		places:  make([]place, 0, len(services)+2),
 		earned:  make(map[model.ShardID]bool, len(services)),
+		reached: map[model.ShardID]bool{},
 		events:  make(chan event, len(services)),
 		over:    make(chan struct{}),
 		arrived: request.Arrived.Sub(e.start),
@@ -235,6 +241,12 @@
 	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	switch {
+	case !errors.Is(err, targetclient.ErrNotSent):
+		r.reached[p.part] = true
+	case p.extra:
+		p.service.extra.Refund()
+	}
 	pace := &p.state.pace
 	usual := p.service.latency.Median(now)
 	if reply != nil && reply.Load != nil {
