Follow whether a host is out of service in one loop

followOut and followService read the same state at two intervals, so a host could be not ready for 0.25 s before it gave its ledgers away. One loop turns it not ready and then hands the ledgers over. The test of the ledgers runs on it unchanged.

--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -14,7 +14,6 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
 	"github.com/knapweedrouter/knapweedrouter/internal/control"
-	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/membership"
@@ -116,28 +115,8 @@
 
 func pairHash(a, b model.HostID) uint64 { return xxhash.Sum64String(string(a) + "\x00" + string(b)) }
 
-const (
-	// servicePoll is the time between two looks whether this host is in service. Work ends 3 s after it is taken out.
-	servicePoll   = 250 * time.Millisecond
-	ledgerTimeout = 5 * time.Second
-)
-
-// followService hands the ledgers over when operators take this host or its data centre out of service, and starts an
-// empty one when it returns, until the context ends.
-func (s *Server) followService(ctx context.Context, engine *execute.Engine, view control.View) {
-	wasOut := false
-	for ; ctx.Err() == nil; ctxtime.Sleep(ctx, servicePoll) {
-		catalogue := view.Catalogue()
-		out := catalogue != nil && isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
-		switch {
-		case out && !wasOut:
-			s.handOverLedgers(ctx, engine, view)
-		case wasOut && !out:
-			engine.Reopen(model.Incarnation(time.Now().UnixNano()))
-		}
-		wasOut = out
-	}
-}
+// ledgerTimeout bounds the hand-over of the ledgers.
+const ledgerTimeout = 5 * time.Second
 
 // handOverLedgers gives the ledgers to another host that is alive and in service.
 func (s *Server) handOverLedgers(ctx context.Context, engine *execute.Engine, view control.View) {
--- a/internal/server/execute_test.go
+++ b/internal/server/execute_test.go
@@ -60,7 +60,7 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			s.followService(ctx, engine, view)
+			s.followOut(ctx, engine, view)
 		}()
 		_, err := engine.Issue("c", "payouts")
 		require.NoError(t, err)
--- a/internal/server/out.go
+++ b/internal/server/out.go
@@ -7,22 +7,33 @@
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/control"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
 
+// outPoll is the time between two looks whether this host is in service. Work ends 3 s after it is taken out.
 const outPoll = 100 * time.Millisecond
 
 // followOut turns this host not-ready while operators have taken it or its data centre out of service, and ready again
-// afterwards. Work in progress is finished, and after the balancer's wait new work is refused as not run.
-func (s *Server) followOut(ctx context.Context) {
+// afterwards. Work in progress is finished, and after the balancer's wait new work is refused as not run. The ledgers go to
+// another host, and the host has an empty one when it returns.
+func (s *Server) followOut(ctx context.Context, engine *execute.Engine, view control.View) {
 	for ; ctx.Err() == nil; ctxtime.Sleep(ctx, outPoll) {
-		if catalogue := s.Catalogue(); catalogue != nil {
-			out := isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
-			if s.stopper.setOut(out) {
-				s.logger.Info("service of this host changed", zap.Bool("out", out),
-					zap.Uint64("generation", uint64(catalogue.Generation)))
-			}
+		catalogue := view.Catalogue()
+		if catalogue == nil {
+			continue
+		}
+		out := isHostOut(catalogue, s.settings.HostID, s.settings.DataCentre)
+		if !s.stopper.setOut(out) {
+			continue
+		}
+		s.logger.Info("service of this host changed", zap.Bool("out", out), zap.Uint64("generation", uint64(catalogue.Generation)))
+		if out {
+			s.handOverLedgers(ctx, engine, view)
+		} else {
+			engine.Reopen(model.Incarnation(time.Now().UnixNano()))
 		}
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -156,7 +156,6 @@
 	s.startGates(ctx, duties)
 	duties.Go(func() { s.pollStatuses(ctx) })
 	duties.Go(func() { s.admitter.run(ctx) })
-	duties.Go(func() { s.followService(ctx, s.executor, s.fleet.control) })
-	duties.Go(func() { s.followOut(ctx) })
+	duties.Go(func() { s.followOut(ctx, s.executor, s.fleet.control) })
 	duties.Go(func() { s.serveOperators(ctx, operators) })
 }
