Keep no map of earned parts and no note of answered ones

A first attempt is picked once for each part, so the map of parts that had earned budget said what the kind of the attempt says; it cost an allocation and an entry a shard on every request. Only a failed attempt is followed by another one that is not beside it, so answered parts need no note. Behaviour unchanged; tests unchanged.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -61,8 +61,7 @@
 	request Request
 	machine *scatter.Machine
 	places  []place // by number of the attempt
-	earned  map[model.ShardID]bool
-	// reached holds the parts of which a target has got an attempt that has ended. It belongs to the engine's mutex.
+	// reached holds the parts of which a target has got an attempt that failed. It belongs to the engine's mutex.
 	reached map[model.ShardID]bool
 	events  chan event
 	over    chan struct{}
@@ -99,7 +98,6 @@
 		engine:  e,
 		request: request,
 		places:  make([]place, 0, len(services)+2),
-		earned:  make(map[model.ShardID]bool, len(services)),
 		reached: map[model.ShardID]bool{},
 		events:  make(chan event, len(services)),
 		over:    make(chan struct{}),
@@ -242,6 +240,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case err == nil:
 	case !errors.Is(err, targetclient.ErrNotSent):
 		r.reached[p.part] = true
 	case p.extra:
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -93,7 +93,7 @@
 
 // postpone plans an attempt that could not be sent now for later.
 func (m *Machine) postpone(now time.Duration, p *part, what *snapshot.Part, kind Kind, verdict Verdict) {
-	if kind.beside() {
+	if kind.Beside() {
 		m.plan(p, now+m.picker.HedgeDelay(what), LateHedge)
 		return
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -40,10 +40,10 @@
 )
 
 // Extra tells whether the attempt adds load, so that it needs budget.
-func (k Kind) Extra() bool { return k == Retry || k.beside() }
+func (k Kind) Extra() bool { return k == Retry || k.Beside() }
 
-// beside tells whether the attempt runs beside another one.
-func (k Kind) beside() bool { return k == Hedge || k == LateHedge }
+// Beside tells whether the attempt runs beside another one.
+func (k Kind) Beside() bool { return k == Hedge || k == LateHedge }
 
 // Attempt is one attempt at one part.
 type Attempt struct {
