--- a/internal/replica/pace.go
+++ b/internal/replica/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -30,7 +29,7 @@
 // Pace is what this host knows about one target from its own attempts of the last seconds. Unlike Evidence it forgets
 // within seconds, so that it follows targets which pause or turn slow for a short time.
 type Pace struct {
-	starts   []time.Duration // of the attempts in flight, the oldest first
+	inFlight
 	estimate time.Duration
 	sampled  time.Duration
 	failures int
@@ -43,16 +42,6 @@
 	reported      time.Duration
 }
 
-// Start counts an attempt as in flight.
-func (p *Pace) Start(now time.Duration) { p.starts = append(p.starts, now) }
-
-// Forget takes an attempt back that says nothing about the target.
-func (p *Pace) Forget(started time.Duration) {
-	if at := slices.Index(p.starts, started); at >= 0 {
-		p.starts = slices.Delete(p.starts, at, at+1)
-	}
-}
-
 // Succeed takes the end of an attempt that was answered. usual is the estimate for the target's peers.
 func (p *Pace) Succeed(now, started, usual time.Duration) {
 	p.Forget(started)
@@ -105,9 +94,6 @@
 	return usual + time.Duration(fade*float64(p.estimate-usual))
 }
 
-// InFlight returns the number of this host's attempts at the target.
-func (p *Pace) InFlight() int { return len(p.starts) }
-
 // Avoid tells whether the target failed a short time ago.
 func (p *Pace) Avoid(now time.Duration) bool { return now < p.avoidUntil }
 
@@ -117,7 +103,7 @@
 // Cost returns the expected time of another attempt at the target with the given number of slots.
 func (p *Pace) Cost(now, usual time.Duration, slots int) time.Duration {
 	estimate := p.Estimate(now, usual)
-	queued := len(p.starts)
+	queued := p.InFlight()
 	if now-p.reported < loadLifetime && p.slots > 0 {
 		queued, slots = max(queued, p.queued), p.slots
 	}
@@ -125,10 +111,8 @@
 	if over := queued + 1 - slots; over > 0 {
 		cost += estimate * time.Duration(over) / time.Duration(max(1, slots))
 	}
-	if len(p.starts) > 0 {
-		if age := now - p.starts[0]; age > stuckFactor*estimate {
-			cost += age
-		}
+	if age := p.oldest(now); age > stuckFactor*estimate {
+		cost += age
 	}
 	return cost + time.Duration(p.Failing(now)*failureCost*float64(estimate))
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,8 +16,7 @@
 
 // Evidence is what this host knows about one target.
 type Evidence struct {
-	// starts holds the start of each attempt in flight, the oldest first.
-	starts     []time.Duration
+	inFlight
 	latencies  Sketch
 	avoidUntil time.Duration
 	// crowdedUntil is the time until which a queue is taken to form at the target.
@@ -29,9 +28,6 @@
 // Hint takes a target's report.
 func (e *Evidence) Hint(slots, inFlight int) { e.hintSlots, e.hintInFlight = slots, inFlight }
 
-// Start counts an attempt as in flight.
-func (e *Evidence) Start(now time.Duration) { e.starts = append(e.starts, now) }
-
 // End takes back the attempt that started at the given time. complete is false if it was cancelled or fell silent: its
 // time still counts, because otherwise a straggler whose attempts always lose would have no samples.
 func (e *Evidence) End(now, started time.Duration, complete bool) {
@@ -45,30 +41,12 @@
 	e.avoidUntil = now + avoidance
 }
 
-// Forget takes back an attempt that says nothing about the target's latency or health.
-func (e *Evidence) Forget(started time.Duration) {
-	if at := slices.Index(e.starts, started); at >= 0 {
-		e.starts = slices.Delete(e.starts, at, at+1)
-	}
-}
-
 // Crowd notes a sign that a queue forms at the target.
 func (e *Evidence) Crowd(now time.Duration) { e.crowdedUntil = now + crowding }
 
 // Crowded tells whether a queue seems to form at the target, so that it should get no extra attempts.
 func (e *Evidence) Crowded(now time.Duration) bool { return now < e.crowdedUntil }
 
-// InFlight returns the number of this host's attempts at the target.
-func (e *Evidence) InFlight() int { return len(e.starts) }
-
-// oldest returns the age of the attempt that has been in flight the longest, 0 if there is none.
-func (e *Evidence) oldest(now time.Duration) time.Duration {
-	if len(e.starts) == 0 {
-		return 0
-	}
-	return now - e.starts[0]
-}
-
 // P95 returns the 95th percentile of the target's latency, 0 if it is not known.
 func (e *Evidence) P95(now time.Duration) time.Duration { return e.latencies.P95(now) }
 
