--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -213,11 +213,7 @@
 
 func (l *link) ping(connection net.Conn) bool {
 	frame, err := l.transport.seal(0, kindPing, nil)
-	if err != nil {
-		return false
-	}
-	l.unanswered.CompareAndSwap(0, int64(monotime.Now()))
-	return l.transport.writeFrame(connection, frame) == nil
+	return err == nil && l.write(connection, outgoing{frame: frame})
 }
 
 // write sends one frame. It returns false if the connection failed.
