Read the caller's time once on the usual way

Every request had its time parsed twice, the first time for a wait for the configuration that hardly any request needs. Behaviour unchanged.

--- a/internal/gateway/await.go
+++ b/internal/gateway/await.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"context"
+	"net/http"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
@@ -21,7 +21,7 @@
 
 // world returns the configuration and targets for a request that came just now, or nil if this host does not have them and does
 // not expect them in time.
-func (f *front) world(ctx context.Context, allowed time.Duration) *forward.World {
+func (f *front) world(r *http.Request) *forward.World {
 	world, changed := f.engine.Watch()
 	if f.isCurrent(world) {
 		return world
@@ -29,6 +29,10 @@
 	if world == nil && time.Since(f.started) > startTime {
 		return nil
 	}
+	allowed, named := f.dialect.Allowed(r.Header)
+	if !named {
+		allowed = usualAllowed
+	}
 	timer := time.NewTimer(min(configurationWait, time.Duration(configurationShare*float64(allowed))))
 	defer timer.Stop()
 	for {
@@ -36,7 +40,7 @@
 		case <-changed:
 		case <-timer.C:
 			return nil
-		case <-ctx.Done():
+		case <-r.Context().Done():
 			return nil
 		case <-f.stopper.final.Done():
 			return nil
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -60,11 +60,7 @@
 		f.refuse(w, r, err)
 		return
 	}
-	allowed, named := f.dialect.Allowed(r.Header)
-	if !named {
-		allowed = usualAllowed
-	}
-	world := f.world(r.Context(), allowed)
+	world := f.world(r)
 	if world == nil {
 		f.refuse(w, r, fault.New(fault.NotReady, fault.NotRun, "use another host",
 			"this host does not have the configuration yet").WithRetryAfter(notReadyRetry))
