--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -224,7 +224,7 @@
 	if leaders := r.leaders(); len(leaders) > 0 {
 		reply, err := r.askEach(ctx, leaders, pull{After: after, Wait: wait}, isAny)
 		if !errors.Is(err, errNoRelay) || ctx.Err() != nil {
-			r.setRefused(err != nil && !errors.Is(err, store.ErrHistoryLost))
+			r.setRefused(isRefusal(err))
 			return reply.Changes, reply.Revision, err
 		}
 		wait = 0 // most of the time that this call may take can be over
@@ -247,6 +247,9 @@
 	return alone && r.slot.hasLooked()
 }
 
+// isRefusal tells whether the error of a call for changes means that its source does not serve this host.
+func isRefusal(err error) bool { return err != nil && !errors.Is(err, store.ErrHistoryLost) }
+
 // setRefused notes whether the store answers this relay. Pulls that wait here end when it no longer does.
 func (r *Relay) setRefused(refused bool) {
 	if r.refused.Swap(refused) != refused {
@@ -265,18 +268,19 @@
 func isAny(*pullReply) bool { return true }
 
 // isLeader tells whether this relay follows the store itself while it can.
-func (r *Relay) isLeader() bool {
-	return slices.ContainsFunc(r.directory.leaders(), func(leader record) bool { return leader.Host == r.cfg.Host })
-}
+func (r *Relay) isLeader() bool { return slices.ContainsFunc(r.directory.leaders(), r.isSelf) }
+
+func (r *Relay) isSelf(other record) bool { return other.Host == r.cfg.Host }
 
 // leaders returns the relays from which this one learns changes; none if it leads itself, if none of them has answered lately, or
 // if it is no relay.
 func (r *Relay) leaders() []record {
-	if !r.IsRelay() || r.isLeader() {
+	leaders := r.directory.leaders()
+	if !r.IsRelay() || slices.ContainsFunc(leaders, r.isSelf) {
 		return nil
 	}
 	now := time.Now()
-	return slices.DeleteFunc(r.directory.leaders(), func(leader record) bool { return r.directory.isAvoided(leader.Host, now) })
+	return slices.DeleteFunc(leaders, func(leader record) bool { return r.directory.isAvoided(leader.Host, now) })
 }
 
 // ask pulls from the relays in turn until one gives a useful answer.
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -41,7 +41,7 @@
 	for {
 		select {
 		case got := <-results:
-			refused := got.err != nil && !errors.Is(got.err, store.ErrHistoryLost)
+			refused := isRefusal(got.err)
 			r.setRefused(refused)
 			if !refused {
 				return got.changes, got.revision, got.err
@@ -63,7 +63,7 @@
 				continue
 			}
 			reply, err := r.ask(ctx, pull{After: after}, isAhead)
-			if err != nil && !errors.Is(err, store.ErrHistoryLost) {
+			if isRefusal(err) {
 				waiting = true
 				behind.Reset(behindLimit)
 				continue
