Remove state that nothing reads, and clocks that are one

registry counted versions that nobody asked for; the gateway's state kept a clock of its own beside monotime. A comment of the registry described a time where the field is a flag. The evidence of a log is ordered by cmp.Compare instead of a truncated difference. Behaviour unchanged.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
 	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 	"github.com/knapweedrouter/knapweedrouter/internal/statedump"
@@ -30,7 +31,7 @@
 	defer s.mu.Unlock()
 	b := beliefs{
 		StoreAway:      s.away,
-		ConfirmedMSAgo: (s.now() - s.confirmed).Milliseconds(),
+		ConfirmedMSAgo: (monotime.Now() - s.confirmed).Milliseconds(),
 		Fleet:          s.inForce,
 		Targets:        s.registry.Targets(),
 	}
@@ -98,5 +99,5 @@
 func (s *state) sinceConfirmed() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.now() - s.confirmed
+	return monotime.Now() - s.confirmed
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
 	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 	"github.com/knapweedrouter/knapweedrouter/internal/routing"
@@ -50,7 +51,6 @@
 	logger  *zap.Logger
 	decoder Decoder
 	engine  *forward.Engine
-	start   time.Time
 
 	mu       sync.Mutex
 	table    *routing.Table
@@ -69,15 +69,12 @@
 		logger:   logger,
 		decoder:  decoder,
 		engine:   engine,
-		start:    time.Now(),
 		registry: registry.New(),
 		out:      map[model.DataCentreID]bool{},
 		fleet:    fleet,
 	}
 }
 
-func (s *state) now() time.Duration { return time.Since(s.start) }
-
 // Reset implements follow.Sink.
 func (s *state) Reset(entries []store.Entry) {
 	s.mu.Lock()
@@ -93,7 +90,7 @@
 	for _, id := range s.registry.Missing(targets) {
 		s.deleteTarget(id, 0)
 	}
-	s.confirmed = s.now()
+	s.confirmed = monotime.Now()
 	s.logger.Info("store listed", zap.Int("entries", len(entries)), zap.Int("targets", len(targets)))
 	s.publish()
 }
@@ -109,7 +106,7 @@
 			s.put(change.Entry)
 		}
 	}
-	s.confirmed = s.now()
+	s.confirmed = monotime.Now()
 	s.publish()
 }
 
@@ -126,7 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away = false
-	s.registry.Returned(s.now())
+	s.registry.Returned(monotime.Now())
 }
 
 func (s *state) put(entry store.Entry) {
@@ -168,7 +165,7 @@
 		s.deleteTarget(id, entry.Revision)
 		return
 	}
-	decision := s.registry.Put(s.now(), report)
+	decision := s.registry.Put(monotime.Now(), report)
 	if decision != registry.Updated {
 		s.logger.Info("target "+string(decision), zap.String("target", string(id)), zap.String("service", string(report.Service)),
 			zap.Uint64("incarnation", uint64(report.Incarnation)), zap.Uint64("sequence", report.Sequence),
@@ -177,7 +174,7 @@
 }
 
 func (s *state) deleteTarget(id model.TargetID, at store.Revision) {
-	if decision := s.registry.Delete(s.now(), id); decision != registry.Unknown {
+	if decision := s.registry.Delete(monotime.Now(), id); decision != registry.Unknown {
 		s.logger.Info("target "+string(decision), zap.String("target", string(id)), zap.Uint64("revision", uint64(at)),
 			zap.Bool("store_away", s.away))
 	}
@@ -209,7 +206,7 @@
 func (s *state) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	now := monotime.Now()
 	gone := s.registry.Expire(now)
 	for _, id := range gone {
 		s.logger.Info("target lapsed", zap.String("target", string(id)))
--- a/internal/logexplain/subject.go
+++ b/internal/logexplain/subject.go
@@ -1,6 +1,7 @@
 package logexplain
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -58,7 +59,7 @@
 func (s *subject) nearest(lines []Line) []Line {
 	middle := s.from.Add(s.to.Sub(s.from) / 2)
 	slices.SortStableFunc(lines, func(a, b Line) int {
-		return int(a.Time.Sub(middle).Abs() - b.Time.Sub(middle).Abs())
+		return cmp.Compare(a.Time.Sub(middle).Abs(), b.Time.Sub(middle).Abs())
 	})
 	lines = lines[:min(len(lines), maxEvidence)]
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,6 +5,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -66,11 +67,10 @@
 type Registry struct {
 	targets map[model.TargetID]*Target
 	removed map[model.TargetID]tombstone
-	// awaySince is the time at which the source was last lost; 0 while it is there.
+	// away tells that the source cannot be reached.
 	away bool
 	// returned is the time of the source's last return.
 	returned time.Duration
-	version  uint64
 }
 
 type tombstone struct {
@@ -88,9 +88,6 @@
 	}
 }
 
-// Version changes with every change of the targets.
-func (r *Registry) Version() uint64 { return r.version }
-
 // Put takes a report.
 func (r *Registry) Put(now time.Duration, report Registration) Decision {
 	if gone, ok := r.removed[report.Target]; ok && !isNewer(report, gone.incarnation, gone.sequence) {
@@ -112,7 +109,6 @@
 	}
 	delete(r.removed, report.Target)
 	r.targets[report.Target] = &Target{Registration: report, ColdUntil: now + report.ColdFor}
-	r.version++
 	return decision
 }
 
@@ -141,7 +137,6 @@
 
 func (r *Registry) remove(now time.Duration, t *Target) {
 	delete(r.targets, t.Target)
-	r.version++
 	if len(r.removed) >= maxRemoved {
 		r.forgetOldest()
 	}
@@ -207,11 +202,6 @@
 	for _, t := range r.targets {
 		all = append(all, *t)
 	}
-	slices.SortFunc(all, func(a, b Target) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b Target) int { return cmp.Compare(a.Target, b.Target) })
 	return all
 }
