Space the calls to a lost store by budget.Backoff

follow computed the same doubled and jittered pause by hand. The pause may be a nanosecond longer at its upper end; otherwise behaviour is unchanged.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/budget"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
@@ -26,11 +27,12 @@
 	maxCallTimeout = 2500 * time.Millisecond
 	// gatherTime is the pause after changes. Changes that come together then cost one call.
 	gatherTime = 250 * time.Millisecond
-	// minBackoff and maxBackoff bound the pause after a failed call.
-	minBackoff = 150 * time.Millisecond
+	// maxBackoff bounds the pause after a failed call.
 	maxBackoff = time.Second
 )
 
+var callBackoff = budget.Backoff{Base: 150 * time.Millisecond, Max: maxBackoff}
+
 // Sink takes what the follower learns. Its methods are called from one goroutine.
 type Sink interface {
 	// Reset takes all entries.
@@ -54,6 +56,7 @@
 	source Source
 	prefix string
 	sink   Sink
+	rng    *rand.Rand
 
 	revision store.Revision
 	listed   bool
@@ -63,7 +66,9 @@
 
 // New returns a follower of the keys with the prefix.
 func New(logger *zap.Logger, source Source, prefix string, sink Sink) *Follower {
-	return &Follower{logger: logger, source: source, prefix: prefix, sink: sink}
+	return &Follower{
+		logger: logger, source: source, prefix: prefix, sink: sink, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 // Run follows until the context ends.
@@ -141,6 +146,5 @@
 	}
 	f.failures++
 	f.sink.Lost(err)
-	limit := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
-	return limit/2 + rand.N(limit/2)
+	return callBackoff.Wait(f.rng, f.failures)
 }
