Count log lines that could not be written

Failed writes were counted in a number that nothing read, although its comment named the metrics. They count as dropped now, which the metrics and the log say.

--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -15,7 +15,6 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	failed  atomic.Int64
 }
 
 // New returns a ring whose lines Run writes.
@@ -37,12 +36,9 @@
 // Sync implements zapcore.WriteSyncer. Lines are written in their own time.
 func (r *Ring) Sync() error { return nil }
 
-// Dropped returns the number of lines that found no room.
+// Dropped returns the number of lines that found no room or could not be written.
 func (r *Ring) Dropped() int64 { return r.dropped.Load() }
 
-// Failed returns the number of writes that failed.
-func (r *Ring) Failed() int64 { return r.failed.Load() }
-
 // Run writes lines until stop is closed and the lines before it are written. Lines that wait together are written
 // together. A count of dropped lines follows the first write after the loss.
 func (r *Ring) Run(stop <-chan struct{}) {
@@ -63,11 +59,12 @@
 }
 
 func (r *Ring) write(line []byte) {
-	for range len(r.lines) {
+	waiting := len(r.lines)
+	for range waiting {
 		line = append(line, <-r.lines...)
 	}
 	if _, err := r.out.Write(line); err != nil {
-		r.failed.Add(1) // a log that cannot be written has no other place to say so than the metrics
+		r.dropped.Add(int64(1 + waiting)) // a log that cannot be written has no other place to say so than the metrics
 	}
 }
 
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -50,3 +51,24 @@
 		require.Contains(t, g.out.String(), `"dropped":7`)
 	})
 }
+
+// broken is a writer that fails.
+type broken struct{}
+
+func (broken) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// TestLinesThatCannotBeWrittenAreCounted guards against a log that has ended without a trace.
+func TestLinesThatCannotBeWrittenAreCounted(t *testing.T) {
+	r := New(broken{})
+	stop, ended := make(chan struct{}), make(chan struct{})
+	for range 3 {
+		r.Write([]byte("line\n"))
+	}
+	close(stop)
+	go func() {
+		r.Run(stop)
+		close(ended)
+	}()
+	<-ended
+	require.GreaterOrEqual(t, r.Dropped(), int64(3))
+}
