--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -162,14 +163,7 @@
 func (h *hop) least() model.Generation { return model.Generation(h.seen.Load()) }
 
 // note takes the generation that has carried out a query.
-func (h *hop) note(generation model.Generation) {
-	for {
-		seen := h.seen.Load()
-		if uint64(generation) <= seen || h.seen.CompareAndSwap(seen, uint64(generation)) {
-			return
-		}
-	}
-}
+func (h *hop) note(generation model.Generation) { atomicmax.Raise(&h.seen, uint64(generation)) }
 
 func (h *hop) handleCancel(_ context.Context, from peer.Sender, decode func(any) error) (any, error) {
 	var message gatherCancel
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
@@ -154,12 +155,10 @@
 		return nil, err
 	}
 	r.directory.take(c, time.Now())
-	for newest := r.newest.Load(); uint64(c.Revision) > newest; newest = r.newest.Load() {
-		if r.newest.CompareAndSwap(newest, uint64(c.Revision)) {
-			select {
-			case r.noticed <- struct{}{}:
-			default: // the notice before it has not been taken yet
-			}
+	if atomicmax.Raise(&r.newest, uint64(c.Revision)) {
+		select {
+		case r.noticed <- struct{}{}:
+		default: // the notice before it has not been taken yet
 		}
 	}
 	return nil, nil
