relay: hand queries over to large hosts that have lost the store

Cause: a relay that cannot reach the store answers pulls as unavailable. The puller marked it like one that does not answer, and a host so marked gets no queries either, so each small host of the fleet carried out its own. A query that was declined because a configuration was a moment late had the same effect for 2 s.

Change: the directory keeps two marks, unresponsive and source lost. Both rank a relay last for pulls; only the first one takes it out as an aggregator. A declined query avoids the aggregator only if that is stopping.

Ruled out: targets too slow to answer in time (large hosts answered the same shards by hedges in 35 ms), the budget of the fleet (large hosts had without_budget 0).

Tests: TestStoreOutageKeepsLargeHosts failed before; TestUnresponsiveLargeHostGetsNoQueries holds the other direction.

--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -51,7 +51,10 @@
 	// Declined means that the query did not run and will not run.
 	Declined bool
 	// Reason explains why the query was declined.
-	Reason     string
+	Reason string
+	// Stopping means that the aggregator declines all queries. Any other reason holds for this query only, such as a
+	// configuration that arrives a moment later.
+	Stopping   bool
 	Status     int
 	Header     map[string][]string
 	Body       []byte
@@ -105,7 +108,9 @@
 		case reply.Declined:
 			d.logger.Info("query declined", zap.String("id", request.ID), zap.String("gatherer", string(aggregator.Host)),
 				zap.String("reason", reply.Reason))
-			d.relays.Avoid(aggregator.Host)
+			if reply.Stopping {
+				d.relays.Avoid(aggregator.Host)
+			}
 			continue
 		}
 		d.recordGeneration(reply.Generation)
@@ -208,7 +213,7 @@
 	}
 	request, reason := d.handler.restoreRequest(&message)
 	if request == nil {
-		return gatherReply{Declined: true, Reason: reason}, nil
+		return gatherReply{Declined: true, Reason: reason, Stopping: d.handler.stopper.isStopping()}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// avoidTTL is how long an unresponsive relay is ranked last.
+	// avoidTTL is how long a relay is ranked last that did not answer or has lost its source of changes.
 	avoidTTL = 2 * time.Second
 	// minLeaders is the minimum number of relays, across all data centres, that follow the store directly. With three,
 	// two may lose the store at once without noticing: the revisions announced by the third reveal it.
@@ -24,10 +24,13 @@
 type directory struct {
 	self slotRecord
 
-	mu         sync.Mutex
-	slots      map[string]slotRecord
-	avoidUntil map[model.HostID]time.Time
-	counter    hostCounter
+	mu    sync.Mutex
+	slots map[string]slotRecord
+	// unresponsiveUntil and sourceLostUntil are the times until which a relay is ranked last: because it did not answer,
+	// or because it answered that its source of changes fails. The latter still executes queries.
+	unresponsiveUntil map[model.HostID]time.Time
+	sourceLostUntil   map[model.HostID]time.Time
+	counter           hostCounter
 	// recentLarge is the highest number of large hosts seen within countTTL.
 	recentLarge timedCount
 }
@@ -40,10 +43,11 @@
 
 func newDirectory(self slotRecord) *directory {
 	return &directory{
-		self:       self,
-		slots:      map[string]slotRecord{},
-		avoidUntil: map[model.HostID]time.Time{},
-		counter:    newHostCounter(self),
+		self:              self,
+		slots:             map[string]slotRecord{},
+		unresponsiveUntil: map[model.HostID]time.Time{},
+		sourceLostUntil:   map[model.HostID]time.Time{},
+		counter:           newHostCounter(self),
 	}
 }
 
@@ -113,7 +117,7 @@
 	}
 	rank := func(r slotRecord) int {
 		switch {
-		case now.Before(d.avoidUntil[r.Host]):
+		case !d.hasSourceLocked(r.Host, now):
 			return 2
 		case r.DataCentre != d.self.DataCentre:
 			return 1
@@ -152,11 +156,36 @@
 	return leaders
 }
 
-// markFailed records that a relay did not answer.
-func (d *directory) markFailed(host model.HostID, now time.Time) {
+// markUnresponsive records that a relay did not answer.
+func (d *directory) markUnresponsive(host model.HostID, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.avoidUntil[host] = now.Add(avoidTTL)
+	d.unresponsiveUntil[host] = now.Add(avoidTTL)
+}
+
+// markSourceLost records that a relay answered that its source of changes fails.
+func (d *directory) markSourceLost(host model.HostID, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sourceLostUntil[host] = now.Add(avoidTTL)
+}
+
+// isResponsive reports whether the host was not recently marked unresponsive.
+func (d *directory) isResponsive(host model.HostID, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !now.Before(d.unresponsiveUntil[host])
+}
+
+// hasSource reports whether the host is responsive and its source of changes was not recently lost.
+func (d *directory) hasSource(host model.HostID, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hasSourceLocked(host, now)
+}
+
+func (d *directory) hasSourceLocked(host model.HostID, now time.Time) bool {
+	return !now.Before(d.unresponsiveUntil[host]) && !now.Before(d.sourceLostUntil[host])
 }
 
 // recordPull records a pull by another host.
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -63,10 +63,3 @@
 	}
 	return (1 - share) / float64(others)
 }
-
-// isAvoided reports whether the host was recently marked unresponsive.
-func (d *directory) isAvoided(host model.HostID, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return now.Before(d.avoidUntil[host])
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -106,7 +106,7 @@
 	now := time.Now()
 	var found []Aggregator
 	for _, relay := range r.directory.relays(now) {
-		if relay.Large && relay.DataCentre == r.cfg.DataCentre && !r.directory.isAvoided(relay.Host, now) {
+		if relay.Large && relay.DataCentre == r.cfg.DataCentre && r.directory.isResponsive(relay.Host, now) {
 			found = append(found, Aggregator{Host: relay.Host, Address: relay.Address})
 		}
 	}
@@ -129,8 +129,8 @@
 	}
 }
 
-// Avoid records that a host did not answer, so that other relays are preferred for a while.
-func (r *Relay) Avoid(host model.HostID) { r.directory.markFailed(host, time.Now()) }
+// Avoid records that a host did not answer, so that other hosts are preferred for a while.
+func (r *Relay) Avoid(host model.HostID) { r.directory.markUnresponsive(host, time.Now()) }
 
 // IsRelay reports whether this host holds a relay slot.
 func (r *Relay) IsRelay() bool { return r.slot.isHeld() }
@@ -301,7 +301,7 @@
 		return nil
 	}
 	now := time.Now()
-	return slices.DeleteFunc(leaders, func(leader slotRecord) bool { return r.directory.isAvoided(leader.Host, now) })
+	return slices.DeleteFunc(leaders, func(leader slotRecord) bool { return !r.directory.hasSource(leader.Host, now) })
 }
 
 // pullFromAny pulls from the known relays in turn until one gives an accepted reply.
@@ -318,7 +318,7 @@
 		}
 		if err != nil {
 			r.logger.Info("relay lost", zap.String("relay", string(relay.Host)), zap.Error(err))
-			r.directory.markFailed(relay.Host, time.Now())
+			r.directory.markUnresponsive(relay.Host, time.Now())
 			continue
 		}
 		r.lastAnswer.Store(int64(monotime.Now()))
@@ -327,7 +327,7 @@
 		}
 		switch reply.Status {
 		case pullUnavailable:
-			r.directory.markFailed(relay.Host, time.Now())
+			r.directory.markSourceLost(relay.Host, time.Now())
 			continue
 		case pullHistoryLost:
 			return pullReply{}, store.ErrHistoryLost
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -556,3 +556,36 @@
 	reply, _ = l.currentReply(pull{After: 16})
 	require.Equal(t, pullUnavailable, reply.Status)
 }
+
+// TestStoreOutageKeepsLargeHosts guards the load pattern of a store outage under traffic: relays that cannot reach the
+// store still execute queries. If the small hosts stop handing queries over, each of them asks targets that it knows
+// nothing about, with a budget of less than one hedge.
+func TestStoreOutageKeepsLargeHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		d.store.mu.Lock()
+		for _, h := range d.hosts {
+			d.store.refuses[h.cfg.Host] = true
+		}
+		d.store.mu.Unlock()
+		for range 20 {
+			time.Sleep(300 * time.Millisecond)
+			for _, h := range d.hosts {
+				require.True(t, h.cfg.Large || len(h.Aggregators()) > 0, "%s hands no queries over", h.cfg.Host)
+			}
+		}
+	})
+}
+
+// TestUnresponsiveLargeHostGetsNoQueries guards against handing queries over to a host that does not answer.
+func TestUnresponsiveLargeHostGetsNoQueries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		small := d.hosts[7]
+		require.Len(t, small.Aggregators(), 2)
+		small.Avoid(small.Aggregators()[0].Host)
+		require.Len(t, small.Aggregators(), 1)
+	})
+}
