scatter: do not wait for shards whose targets refuse connections

Load pattern: all targets of one shard crash while the others serve.

Change: a part is unreachable once each of its replicas has refused a connection in this query. Fast mode ends when the minimum coverage is reached and all missing parts are unreachable. A busy, silent, shedding or lost target says nothing of the kind, and a later failure of another kind clears the mark.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -225,14 +225,15 @@
 }
 
 var gateResults = map[scatter.Failure]gate.Result{
-	"":                      gate.Success,
-	scatter.FailedNotSent:   gate.NotSent,
-	scatter.FailedShed:      gate.Shed,
-	scatter.FailedDraining:  gate.Draining,
-	scatter.FailedLost:      gate.Lost,
-	scatter.FailedNoReply:   gate.NoReply,
-	scatter.FailedLate:      gate.NoReply,
-	scatter.FailedCancelled: gate.Cancelled,
+	"":                        gate.Success,
+	scatter.FailedNotSent:     gate.NotSent,
+	scatter.FailedUnreachable: gate.NotSent,
+	scatter.FailedShed:        gate.Shed,
+	scatter.FailedDraining:    gate.Draining,
+	scatter.FailedLost:        gate.Lost,
+	scatter.FailedNoReply:     gate.NoReply,
+	scatter.FailedLate:        gate.NoReply,
+	scatter.FailedCancelled:   gate.Cancelled,
 }
 
 func gateResult(failure scatter.Failure) gate.Result {
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -115,10 +115,11 @@
 	if failure.final() {
 		p.markFinal(a.Target)
 	}
+	spec := &m.round.snapshot.Parts[a.Part]
+	m.round.recordUnreachable(p, a.Target, failure, spec.Replicas)
 	if p.open > 0 {
 		return // the other attempt continues, and a scheduled hedge stays scheduled
 	}
-	spec := &m.round.snapshot.Parts[a.Part]
 	m.unschedule(p)
 	switch {
 	case m.cfg.Suspect || m.targetLost || failure == FailedDeadline || failure == FailedLate:
--- a/internal/scatter/machine.go
+++ b/internal/scatter/machine.go
@@ -223,13 +223,19 @@
 	case m.done:
 	case r.answered == len(r.parts), now >= m.cfg.Deadline:
 		m.finish()
-	case m.cfg.Mode == Fast && now >= m.cfg.SoftDeadline && m.hasMinCoverage():
+	case m.cfg.Mode == Fast && (now >= m.cfg.SoftDeadline || m.missingAreUnreachable()) && m.hasMinCoverage():
 		m.finish()
 	case r.active == 0 && m.restartDeadline == 0:
 		m.finish()
 	}
 }
 
+// missingAreUnreachable reports whether waiting is pointless, because no missing part has a target that accepts
+// connections.
+func (m *Machine) missingAreUnreachable() bool {
+	return m.round.answered+m.round.unreachable == len(m.round.parts)
+}
+
 func (m *Machine) hasMinCoverage() bool { return m.round.coveredFraction() >= m.cfg.MinCoverage }
 
 func (m *Machine) finish() {
--- a/internal/scatter/round.go
+++ b/internal/scatter/round.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/coverage"
@@ -21,6 +22,8 @@
 	answered    int
 	// active counts the unanswered parts that have an open or a scheduled attempt.
 	active int
+	// unreachable counts the unanswered parts all of whose replicas refused connections.
+	unreachable int
 }
 
 // part is the state of one part of the snapshot, which is one shard.
@@ -39,6 +42,8 @@
 	nextKind Kind
 	retries  int
 	active   bool
+	// unreachable is set once every replica has refused a connection, until an attempt fails in another way.
+	unreachable bool
 }
 
 // triedTarget is a target to which an attempt at the part was sent.
@@ -46,6 +51,8 @@
 	target model.TargetID
 	// final means that the target can no longer answer this part.
 	final bool
+	// unreachable means that the target refused the connection.
+	unreachable bool
 }
 
 func newRound(number int, s snapshot.Snapshot) *round {
@@ -71,9 +78,43 @@
 	}
 }
 
+// setUnreachable updates the count of unreachable parts after a change to p.
+func (r *round) setUnreachable(p *part, unreachable bool) {
+	if unreachable == p.unreachable {
+		return
+	}
+	p.unreachable = unreachable
+	if unreachable {
+		r.unreachable++
+	} else {
+		r.unreachable--
+	}
+}
+
+// recordUnreachable records whether a failed attempt shows that no replica of the part accepts connections.
+func (r *round) recordUnreachable(p *part, target model.TargetID, failure Failure, replicas []model.TargetID) {
+	if failure != FailedUnreachable {
+		r.setUnreachable(p, false)
+		return
+	}
+	refused := 0
+	for i := range p.tried {
+		if p.tried[i].target == target {
+			p.tried[i].unreachable = true
+		}
+		if p.tried[i].unreachable {
+			refused++
+		}
+	}
+	if refused >= len(replicas) {
+		r.setUnreachable(p, true)
+	}
+}
+
 // store sets the accepted reply of a part.
 func (r *round) store(index int, reply Reply) {
 	p := &r.parts[index]
+	r.setUnreachable(p, false)
 	p.reply = reply
 	p.next = 0
 	r.answered++
@@ -112,21 +153,13 @@
 	}
 }
 
-// clearTransientFailures makes targets that failed for a transient reason eligible again. It reports whether there
-// were any. It does nothing while an attempt at the part is open.
-func (p *part) clearTransientFailures() bool {
+// clearTransientFailures makes targets that failed for a transient reason eligible again. It does nothing while an
+// attempt at the part is open.
+func (p *part) clearTransientFailures() {
 	if p.open > 0 {
-		return false
-	}
-	kept := p.tried[:0]
-	for _, t := range p.tried {
-		if t.final {
-			kept = append(kept, t)
-		}
+		return
 	}
-	cleared := len(kept) < len(p.tried)
-	p.tried = kept
-	return cleared
+	p.tried = slices.DeleteFunc(p.tried, func(t triedTarget) bool { return !t.final })
 }
 
 // allReplicasFinal reports whether no replica can answer the part any more.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -16,7 +17,8 @@
 type Mode string
 
 const (
-	// Fast returns once the minimum coverage is reached and the soft deadline has passed.
+	// Fast returns once the minimum coverage is reached and the soft deadline has passed, or the missing parts have no
+	// target that accepts connections.
 	Fast Mode = "fast"
 	// Full waits for every shard until the deadline.
 	Full Mode = "full"
@@ -136,7 +138,9 @@
 
 // Attempt failures.
 const (
-	FailedNotSent     Failure = "not_sent"
+	FailedNotSent Failure = "not_sent"
+	// FailedUnreachable means that nothing listens at the target's address: its process is gone, for seconds at least.
+	FailedUnreachable Failure = "unreachable"
 	FailedShed        Failure = "shed"
 	FailedDraining    Failure = "draining"
 	FailedDeadline    Failure = "deadline"
@@ -153,6 +157,7 @@
 	err     error
 	failure Failure
 }{
+	{syscall.ECONNREFUSED, FailedUnreachable}, // precedes ErrNotSent, which wraps it
 	{targetclient.ErrNotSent, FailedNotSent},
 	{targetclient.ErrShed, FailedShed},
 	{targetclient.ErrDraining, FailedDraining},
@@ -165,7 +170,7 @@
 	{targetclient.ErrLost, FailedLost},
 }
 
-// Classify maps an error of package targetclient to a Failure. Unknown errors are FailedOther.
+// Classify maps an error of package targetclient, or the cause that it wraps, to a Failure. Unknown errors are FailedOther.
 func Classify(err error) Failure {
 	for _, known := range failuresByError {
 		if errors.Is(err, known.err) {
@@ -178,7 +183,7 @@
 // NotRun reports whether the failure proves that the attempt did not run.
 func (f Failure) NotRun() bool {
 	switch f {
-	case FailedNotSent, FailedShed, FailedDraining, FailedDeadline, FailedVersionGone:
+	case FailedNotSent, FailedUnreachable, FailedShed, FailedDraining, FailedDeadline, FailedVersionGone:
 		return true
 	}
 	return false
@@ -186,7 +191,11 @@
 
 // replaceable reports whether the failed attempt caused no work on its target.
 func (f Failure) replaceable() bool {
-	return f == FailedNotSent || f == FailedDraining || f == FailedVersionGone
+	switch f {
+	case FailedNotSent, FailedUnreachable, FailedDraining, FailedVersionGone:
+		return true
+	}
+	return false
 }
 
 // final reports whether the target can no longer answer the part.
