Keep one unexpected reply, frame or store entry from ending the process

Causes, found by reading for the failures that other operators reported: a panic in a handler of a frame or in a decoder of a store entry ended the process (the entry at every start again), one in a reply's decoder kept its connection counted for good; a signed success that names no request was taken for the answer to the request that waits, as a late second copy may be.

Change: handlers, decoders and exchanges run under panics.Try of conc; the call, entry or attempt fails and the process goes on. A success counts only if it echoes the request's ID; an error of a target that has not read the request may lack it.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"golang.org/x/sys/unix"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -98,7 +99,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", targetclient.ErrNotSent, err)
 	}
-	reply, reusable, err := conn.exchange(ctx, a, p.codec)
+	var reply *Reply
+	var reusable bool
+	recovered := panics.Try(func() { reply, reusable, err = conn.exchange(ctx, a, p.codec) })
+	if recovered != nil {
+		// A reply that no parser expected must not end the process.
+		reusable, err = false, fmt.Errorf("%w: %w", targetclient.ErrMismatch, recovered.AsError())
+	}
 	p.release(conns, conn, reusable)
 	if err != nil {
 		if !errors.Is(err, targetclient.ErrCancelled) && !errors.Is(err, targetclient.ErrNotSent) {
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -138,7 +138,7 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if reply.RequestID != "" && reply.RequestID != a.Request.ID {
+		if !reply.belongsTo(a.Request) {
 			if !framed || response.Close {
 				return nil, false, errOtherReplies
 			}
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -42,3 +43,43 @@
 		})
 	}
 }
+
+// TestLateCopyWithoutIDIsNotAnAnswer guards against taking a signed success that names no request for the answer to the
+// request that waits: a second copy of an earlier answer may arrive on a connection that is in use again.
+func TestLateCopyWithoutIDIsNotAnAnswer(t *testing.T) {
+	address, _ := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		if n > 0 {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nold")
+		}
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), "own"))
+		return true
+	})
+	p := NewPool(testCodec{})
+	for i := range 3 {
+		got, err := do(t, p, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, "own", string(got.Body))
+	}
+}
+
+// panickingCodec panics on every reply.
+type panickingCodec struct{ testCodec }
+
+func (panickingCodec) DecodeReply(int, http.Header) ReplyInfo { panic("unexpected") }
+
+// TestUnexpectedReplyEndsItsAttemptOnly guards against one reply that takes the process down, and against a connection
+// that is lost from the count of a target.
+func TestUnexpectedReplyEndsItsAttemptOnly(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		io.WriteString(conn, reply(r.Header.Get("X-Id"), "body"))
+		return true
+	})
+	p := NewPool(panickingCodec{})
+	for range 3 {
+		a := attemptAt(address, "a")
+		a.MaxConnections = 1
+		_, err := p.Do(t.Context(), a)
+		require.ErrorIs(t, err, targetclient.ErrMismatch)
+	}
+	require.EqualValues(t, 3, connections.Load(), "each connection is closed")
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -86,6 +86,12 @@
 // OK reports whether the target ran the request and returned a signed success.
 func (r *Reply) OK() bool { return r.Status >= 200 && r.Status < 300 && r.Signature != "" && !r.NotRun }
 
+// belongsTo reports whether the reply may be taken for the answer to the request. Targets echo the ID of a request; a late
+// copy of an earlier answer has another one. An error reply of a target that has not read the request may have none.
+func (r *Reply) belongsTo(request *Request) bool {
+	return r.RequestID == request.ID || r.RequestID == "" && !r.OK()
+}
+
 // ErrFailure means that the target ran the request and reported a failure.
 var ErrFailure = errors.New("target: answered with a failure")
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
@@ -126,7 +127,15 @@
 	s.registry.SourceRegained(monotime.Now())
 }
 
+// putEntry takes over an entry of the store. An entry that makes its decoder panic is ignored: it must not end the process,
+// which would meet it again at every start.
 func (s *state) putEntry(entry store.Entry) {
+	if recovered := panics.Try(func() { s.decodeEntry(entry) }); recovered != nil {
+		s.logger.Error("entry ignored after an unexpected error", zap.String("key", entry.Key), revision(entry), zap.Error(recovered.AsError()))
+	}
+}
+
+func (s *state) decodeEntry(entry store.Entry) {
 	key := s.decoder.ParseKey(entry.Key)
 	switch key.Kind {
 	case KeyConfiguration:
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 )
@@ -100,9 +102,20 @@
 	}()
 }
 
+// errHandlerFailed is sent to the peer if a handler panics, in place of the panic, which is logged here.
+var errHandlerFailed = errors.New("the handler of the frame failed unexpectedly: see the log of the host that received it")
+
+// handle calls the handler and sends its reply. A panic ends the call only: a frame that no handler expected must not end
+// the process.
 func (in *inboundConn) handle(ctx context.Context, handler Handler, from Sender, e envelope) {
 	decode := func(into any) error { return msgpack.Unmarshal(e.Body, into) }
-	reply, err := handler(ctx, from, decode)
+	var reply any
+	var err error
+	if recovered := panics.Try(func() { reply, err = handler(ctx, from, decode) }); recovered != nil {
+		in.transport.logger.Error("frame handler failed", zap.String("kind", string(e.Kind)), zap.String("from", string(from.Host)),
+			zap.Error(recovered.AsError()))
+		err = errHandlerFailed
+	}
 	if err != nil {
 		in.reply(e.Seq, kindFailed, err.Error())
 		return
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -51,6 +51,8 @@
 	return text{"late"}, nil
 }
 
+func answerPanic(context.Context, peer.Sender, func(any) error) (any, error) { panic("unexpected") }
+
 // start runs a transport until the test ends.
 func start(t *testing.T, network *memnet.Network, id model.HostID, incarnation model.Incarnation, address string, keys ...[]byte) *host {
 	return startWith(t, address, peer.Config{
@@ -65,6 +67,7 @@
 	transport.Handle(echo, answerEcho)
 	transport.Handle("slow", answerSlowly)
 	transport.Handle("note", h.countOneWay)
+	transport.Handle("panic", answerPanic)
 	listener, err := cfg.Network.Listen(address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -247,3 +250,19 @@
 		require.EqualValues(t, 1, b.Stats().RefusedLength)
 	})
 }
+
+// TestPanickingHandlerEndsItsCallOnly guards against one frame that takes the process down: the caller gets an error, and
+// the same connection goes on to serve calls.
+func TestPanickingHandlerEndsItsCallOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		a := start(t, network, "a", 1, "a:1", newKey)
+		start(t, network, "b", 1, "b:1", newKey)
+		for range 3 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			require.ErrorContains(t, a.Call(ctx, "b:1", "panic", "x", nil), "failed unexpectedly")
+			cancel()
+			require.NoError(t, call(t, a, "b:1"))
+		}
+	})
+}
