--- /dev/null
+++ b/internal/relay/deployment_test.go
@@ -0,0 +1,388 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/follow"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+// fakeStore is a store.Feed with leases. refuses selects the hosts whose calls fail.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision store.Revision
+	entries  map[string]store.Entry
+	leases   map[store.LeaseID]time.Time
+	owner    map[string]store.LeaseID
+	changes  []store.Change
+	changed  chan struct{}
+	reads    map[model.HostID]int
+	refuses  map[model.HostID]bool
+	// hangs selects the hosts whose calls for changes never return.
+	hangs map[model.HostID]bool
+	next  store.LeaseID
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		revision: 1, entries: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, owner: map[string]store.LeaseID{},
+		changed: make(chan struct{}), reads: map[model.HostID]int{}, refuses: map[model.HostID]bool{},
+		hangs: map[model.HostID]bool{},
+	}
+}
+
+// set writes or removes a key. The caller holds s.mu.
+func (s *fakeStore) set(key string, value []byte, removed bool) {
+	s.revision++
+	entry := store.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = entry
+	if removed {
+		delete(s.entries, key)
+		delete(s.owner, key)
+	}
+	s.changes = append(s.changes, store.Change{Entry: entry, Removed: removed})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes expired leases and their keys. The caller holds s.mu.
+func (s *fakeStore) expire() {
+	for lease, until := range s.leases {
+		if time.Now().Before(until) {
+			continue
+		}
+		delete(s.leases, lease)
+		for key, owner := range s.owner {
+			if owner == lease {
+				s.set(key, nil, true)
+			}
+		}
+	}
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(key, []byte(value), false)
+}
+
+// hostFeed is the store as accessed by one host.
+type hostFeed struct {
+	*fakeStore
+	host model.HostID
+}
+
+// startCall counts the reads of a call. If it returns nil, the caller must unlock f.mu.
+func (f hostFeed) startCall(reads int) error {
+	f.mu.Lock()
+	f.expire()
+	f.reads[f.host] += reads
+	if f.refuses[f.host] {
+		f.mu.Unlock()
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (f hostFeed) list(prefix string, reads int) ([]store.Entry, store.Revision, error) {
+	if err := f.startCall(reads); err != nil {
+		return nil, 0, err
+	}
+	defer f.mu.Unlock()
+	var all []store.Entry
+	for key, entry := range f.entries {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, entry)
+		}
+	}
+	return all, f.revision, nil
+}
+
+func (f hostFeed) List(_ context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	return f.list(prefix, 1)
+}
+
+func (f hostFeed) ListStale(_ context.Context, prefix string) ([]store.Entry, error) {
+	entries, _, err := f.list(prefix, 0)
+	return entries, err
+}
+
+func (f hostFeed) Changes(ctx context.Context, _ string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
+	end := time.Now().Add(wait)
+	for first := 1; ; first = 0 {
+		if err := f.startCall(first); err != nil {
+			return nil, 0, err
+		}
+		var found []store.Change
+		for _, change := range f.changes {
+			if change.Revision > after {
+				found = append(found, change)
+			}
+		}
+		revision, changed := f.revision, f.changed
+		hangs := f.hangs[f.host]
+		f.mu.Unlock()
+		if hangs {
+			<-ctx.Done()
+			return nil, 0, store.ErrUnavailable
+		}
+		if len(found) > 0 || !time.Now().Before(end) {
+			return found, revision, nil
+		}
+		timer := time.NewTimer(min(time.Until(end), time.Second))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, 0, store.ErrUnavailable
+		}
+	}
+}
+
+func (f hostFeed) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := f.startCall(0); err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	f.next++
+	f.leases[f.next] = time.Now().Add(ttl)
+	return f.next, nil
+}
+
+func (f hostFeed) Renew(_ context.Context, lease store.LeaseID) error {
+	if err := f.startCall(0); err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	if _, ok := f.leases[lease]; !ok {
+		return store.ErrLeaseEnded
+	}
+	f.leases[lease] = time.Now().Add(slotTTL)
+	return nil
+}
+
+func (f hostFeed) Put(_ context.Context, key string, value []byte, lease store.LeaseID) error {
+	if err := f.startCall(0); err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	f.owner[key] = lease
+	f.set(key, value, false)
+	return nil
+}
+
+func (f hostFeed) Create(ctx context.Context, key string, value []byte, lease store.LeaseID) error {
+	if err := f.startCall(0); err != nil {
+		return err
+	}
+	_, taken := f.entries[key]
+	f.mu.Unlock()
+	if taken {
+		return store.ErrConflict
+	}
+	return f.Put(ctx, key, value, lease)
+}
+
+// network connects the hosts' transports. A host that is down neither sends nor answers.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*transport
+}
+
+type transport struct {
+	network  *network
+	self     peer.Sender
+	handlers map[peer.Kind]peer.Handler
+	down     bool
+}
+
+func (t *transport) Handle(kind peer.Kind, handler peer.Handler) { t.handlers[kind] = handler }
+
+func (t *transport) Send(address string, kind peer.Kind, body any) error {
+	go t.Call(context.Background(), address, kind, body, nil)
+	return nil
+}
+
+func (t *transport) Call(ctx context.Context, address string, kind peer.Kind, body, reply any) error {
+	t.network.mu.Lock()
+	other := t.network.hosts[address]
+	cut := other == nil || other.down || t.down
+	t.network.mu.Unlock()
+	if cut {
+		time.Sleep(10 * time.Millisecond)
+		return peer.ErrNotSent
+	}
+	encoded, err := msgpack.Marshal(body)
+	if err != nil {
+		return err
+	}
+	answers := make(chan any, 1)
+	go func() {
+		answer, _ := other.handlers[kind](ctx, t.self, func(into any) error { return msgpack.Unmarshal(encoded, into) })
+		answers <- answer
+	}()
+	answer, err := t.await(ctx, other, answers)
+	if err != nil || answer == nil {
+		return err
+	}
+	encoded, err = msgpack.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(encoded, reply)
+}
+
+// await returns the answer, or an error shortly after the other host goes down.
+func (t *transport) await(ctx context.Context, other *transport, answers <-chan any) (any, error) {
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case answer := <-answers:
+			return answer, nil
+		case <-ctx.Done():
+			return nil, peer.ErrNoReply
+		case <-ticker.C:
+			t.network.mu.Lock()
+			down := other.down
+			t.network.mu.Unlock()
+			if down {
+				return nil, peer.ErrNoReply
+			}
+		}
+	}
+}
+
+// host is a host that follows the store through its Relay. It implements follow.Sink.
+type host struct {
+	*Relay
+	transport *transport
+	stop      context.CancelFunc
+	mu        sync.Mutex
+	values    map[string]string
+}
+
+func (h *host) Reset(entries []store.Entry) {
+	h.Relay.Reset(entries)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, entry := range entries {
+		h.values[entry.Key] = string(entry.Value)
+	}
+}
+
+func (h *host) Apply(changes []store.Change) {
+	h.Relay.Apply(changes)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, change := range changes {
+		h.values[change.Key] = string(change.Value)
+	}
+}
+
+func (h *host) value(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.values[key]
+}
+
+type deployment struct {
+	t       *testing.T
+	store   *fakeStore
+	network *network
+	hosts   []*host
+}
+
+// deploy starts hosts in each of two data centres and waits until the relay slots are settled.
+func deploy(t *testing.T, perDataCentre int) *deployment {
+	d := &deployment{t: t, store: newFakeStore(), network: &network{hosts: map[string]*transport{}}}
+	for dc := range 2 {
+		for i := range perDataCentre {
+			d.start(fmt.Sprintf("h%d-%d", dc, i), fmt.Sprint("dc", dc), i < 2)
+		}
+	}
+	time.Sleep(12 * time.Second)
+	return d
+}
+
+func (d *deployment) start(id, dataCentre string, large bool) *host {
+	name := model.HostID(id)
+	h := &host{
+		transport: &transport{network: d.network, self: peer.Sender{Host: name}, handlers: map[peer.Kind]peer.Handler{}},
+		values:    map[string]string{},
+	}
+	h.Relay = New(zap.NewNop(), Config{
+		Feed: hostFeed{d.store, name}, Transport: h.transport, Host: name, Address: id, DataCentre: model.DataCentreID(dataCentre), Large: large,
+		OlderIncarnation: func(model.Incarnation) {},
+	})
+	d.network.mu.Lock()
+	d.network.hosts[id] = h.transport
+	d.network.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	go h.Run(ctx)
+	go follow.New(zap.NewNop(), h.Relay, "", h).Run(ctx)
+	d.hosts = append(d.hosts, h)
+	return h
+}
+
+// kill stops a host abruptly.
+func (d *deployment) kill(h *host) {
+	d.network.mu.Lock()
+	h.transport.down = true
+	d.network.mu.Unlock()
+	h.stop()
+}
+
+func (d *deployment) end() {
+	for _, h := range d.hosts {
+		d.kill(h)
+	}
+	time.Sleep(time.Minute) // lets the goroutines of the synctest bubble end
+}
+
+func (d *deployment) relays() (held []*host) {
+	for _, h := range d.hosts {
+		if h.IsRelay() {
+			held = append(held, h)
+		}
+	}
+	return held
+}
+
+// requireValueOnHosts writes a value and requires every live host to have it in time.
+func (d *deployment) requireValueOnHosts(value string, within time.Duration, except ...*host) {
+	d.t.Helper()
+	d.store.put("config", value)
+	time.Sleep(within)
+	for _, h := range d.hosts {
+		skip := h.transport.down
+		for _, other := range except {
+			skip = skip || h == other
+		}
+		if !skip {
+			require.Equal(d.t, value, h.value("config"), "%s after %v", h.cfg.Host, within)
+		}
+	}
+}
+
+func (d *deployment) totalReads() int {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	total := 0
+	for _, reads := range d.store.reads {
+		total += reads
+	}
+	return total
+}
