--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -165,8 +165,8 @@
 // Wait waits until all attempts and probes have ended. No request may be started in the meantime.
 func (e *Engine) Wait() { e.tasks.Wait() }
 
-// Do executes a request and returns its final answer, at its deadline at the latest. The caller must Release the outcome. Cancelling the context, for example
-// because the caller disconnected, ends the request early.
+// Do executes a request and returns its final answer, at its deadline at the latest. Cancelling the context, for example
+// because the caller disconnected, ends the request early. The caller must Release the outcome.
 func (e *Engine) Do(ctx context.Context, request Request) Outcome {
 	r := e.newRun(request)
 	if err := r.checkQuarantine(); err != nil {
