relay: number pulls from 0 at each start

A notice of a move that the process before a restart sent late can shorten the count of a host to 5 s at most, and its next pull, within 2.5 s, restores it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,8 +59,7 @@
 	// storeFallbackDelay.
 	lastAnswer     atomic.Int64
 	fallbackJitter time.Duration
-	// lastPull is the number of the last pull of this host. It starts at the time in ns, so that it increases over
-	// restarts. lastSource is the relay that answered a pull last.
+	// lastPull is the number of the last pull of this process. lastSource is the relay that answered a pull last.
 	lastPull   atomic.Uint64
 	lastSource atomic.Pointer[slotRecord]
 	// newestRevision is the highest revision announced by another relay; revisionRaised is signalled when it rises.
@@ -84,7 +83,6 @@
 	}
 	r.slot = newSlotKeeper(logger, cfg, self, r.directory)
 	r.lastAnswer.Store(int64(monotime.Now()))
-	r.lastPull.Store(uint64(time.Now().UnixNano()))
 	cfg.Transport.Handle(kindPull, r.handlePull)
 	cfg.Transport.Handle(kindCensus, r.handleCensus)
 	cfg.Transport.Handle(kindMoved, r.handleMoved)
