Share the limit of a reply's body, and read the slots of the fleet once

Found in the last read of the change: 8 MiB stood as three constants (exchange, forward, targetclient), and directory.fleet took the mutex twice and collected the hosts with a slot by a loop of its own beside slotHoldersLocked. Behaviour is as before.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -17,9 +17,7 @@
 )
 
 const (
-	// defaultMaxReplyBytes limits the body of a reply, which is buffered in memory, if the attempt states no limit.
-	defaultMaxReplyBytes = 8 << 20
-	readBufferSize       = 4 << 10
+	readBufferSize = 4 << 10
 	// maxRepliesRead limits the replies read for an attempt, including skipped ones: interim responses and replies to
 	// other requests.
 	maxRepliesRead = 4
@@ -119,7 +117,7 @@
 // readReply returns the reply to the attempt, and whether the connection can carry another one. It skips interim
 // responses and replies to other requests.
 func (c *connection) readReply(a *Attempt, request *http.Request, codec HeaderCodec) (*Reply, bool, error) {
-	limit := int64(defaultMaxReplyBytes)
+	limit := int64(httpreply.MaxBodyBytes)
 	if a.MaxReplyBytes > 0 {
 		limit = a.MaxReplyBytes
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,7 +38,7 @@
 	Deadline time.Time
 	// MaxConnections limits this host's connections to the target; 0 means no limit.
 	MaxConnections int
-	// MaxReplyBytes limits the body of the reply; 0 means 8 MiB.
+	// MaxReplyBytes limits the body of the reply; 0 means httpreply.MaxBodyBytes.
 	MaxReplyBytes int64
 	// Memory is charged for the body of the reply; nil means no bound.
 	Memory *httpreply.Account
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -33,9 +33,8 @@
 	lingerTimeout = 200 * time.Millisecond
 	// retryAfterShare of the objective is the delay that a refused caller is asked to wait before it retries.
 	retryAfterShare = 0.1
-	// maxReplyBytes limits the reply to a request to a single target, and maxPartBytes the reply of one shard.
-	// maxRequestBytes limits all replies to a request, those to superseded attempts included.
-	maxReplyBytes   = 8 << 20
+	// maxPartBytes limits the reply of one shard. maxRequestBytes limits all replies to a request, those to superseded
+	// attempts included.
 	maxPartBytes    = 1 << 20
 	maxRequestBytes = 16 << 20
 	// minRetryAfter is the lower bound of that delay.
@@ -255,7 +254,7 @@
 	if len(r.request.Route.Shards) > 0 {
 		return maxPartBytes
 	}
-	return maxReplyBytes
+	return httpreply.MaxBodyBytes
 }
 
 // recordResult updates the statistics of the target, its service and the route, and the budget.
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -12,6 +12,8 @@
 const (
 	// MaxHeadBytes bounds the status line and the headers of a reply. Real ones have less than 1 KiB.
 	MaxHeadBytes = 64 << 10
+	// MaxBodyBytes bounds the body of a reply whose reader sets no lower limit.
+	MaxBodyBytes = 8 << 20
 	// framingFactor bounds the bytes of a chunked body on the wire as a multiple of its content. A chunk of one byte
 	// takes six.
 	framingFactor = 8
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -34,15 +35,11 @@
 
 // fleet returns the current view.
 func (d *directory) fleet(now time.Time) Fleet {
-	size := d.size(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f := Fleet{Hosts: size.Hosts}
-	for _, r := range d.slots {
-		f.Relays = append(f.Relays, r.Host)
-	}
-	slices.Sort(f.Relays)
-	f.Relays = slices.Compact(f.Relays)
+	holders := d.slotHoldersLocked()
+	size := d.counter.total(holders, now)
+	f := Fleet{Hosts: size.Hosts, Relays: slices.Sorted(maps.Keys(holders))}
 	if size.Large >= d.recentLarge.hosts || now.Sub(d.recentLarge.at) > countTTL {
 		d.recentLarge = timedCount{size.Large, now}
 	}
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -11,10 +11,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
-const (
-	maxReplyBytes  = 8 << 20
-	readBufferSize = 16 << 10
-)
+const readBufferSize = 16 << 10
 
 // connection is a persistent HTTP/1.1 connection that carries one request at a time. Its reader goroutine also reads while
 // the connection is idle, to detect closed connections before they are reused and bytes that no request expects.
@@ -81,7 +78,7 @@
 }
 
 func (c *connection) readReply(request *http.Request, checksumHeader string) (httpReply, error) {
-	response, body, err := c.reader.Read(request, maxReplyBytes, nil)
+	response, body, err := c.reader.Read(request, httpreply.MaxBodyBytes, nil)
 	if err != nil {
 		return httpReply{}, err
 	}
