--- /dev/null
+++ b/internal/evidence/evidence_test.go
@@ -0,0 +1,178 @@
+package evidence
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+const second = time.Second
+
+func crash(fingerprint uint64, target string, incarnation int) Fact {
+	return Fact{
+		Kind: Crashed, Fingerprint: fingerprint,
+		Instance: Instance{Target: model.TargetID(target), Incarnation: model.Incarnation(incarnation)},
+	}
+}
+
+func answer(fingerprint uint64) Fact { return Fact{Kind: Answered, Fingerprint: fingerprint} }
+
+// observed returns a log with facts that were seen a second apart.
+func observed(facts ...Fact) (*Log, time.Duration) {
+	l := NewLog(1)
+	now := time.Duration(0)
+	for _, f := range facts {
+		now += second
+		l.Observe(now, f)
+	}
+	return l, now
+}
+
+// TestThreeCrashesQuarantine guards the limit, and the span for which it holds.
+func TestThreeCrashesQuarantine(t *testing.T) {
+	l, now := observed(crash(1, "a", 1), crash(1, "b", 1))
+	require.Equal(t, Suspect, l.Judge(now, 1).Verdict)
+	require.Equal(t, Unsuspected, l.Judge(now, 2).Verdict)
+	l.Observe(now, crash(1, "a", 2))
+	require.Equal(t, Judgement{Verdict: Quarantined, Crashes: 3, Left: firstQuarantine}, l.Judge(now, 1))
+	now += firstQuarantine
+	require.Equal(t, Suspect, l.Judge(now, 1).Verdict)
+	l.Observe(now, crash(1, "d", 1))
+	require.Equal(t, 2*firstQuarantine, l.Judge(now, 1).Left, "one more crash is enough, and doubles the quarantine")
+}
+
+// TestAnsweredRequestIsNoSuspect guards against refusing a proper request that was in flight where targets crashed for other
+// reasons: a request that crashes targets is never answered.
+func TestAnsweredRequestIsNoSuspect(t *testing.T) {
+	l, now := observed(crash(1, "a", 1), crash(1, "b", 1), answer(1), crash(1, "c", 1), crash(1, "d", 1))
+	require.Equal(t, Suspect, l.Judge(now, 1).Verdict)
+	late := crash(1, "e", 1)
+	late.Age = 3 * second // before the answer
+	require.False(t, l.Observe(now, late), "the answer refutes what is learned later about the time before it")
+	l.Observe(now, answer(1))
+	require.Equal(t, Unsuspected, l.Judge(now, 1).Verdict)
+}
+
+// TestTargetsThatEndTogetherCondemnNoRequest guards against refusing a query that was at many targets when a rack was lost.
+func TestTargetsThatEndTogetherCondemnNoRequest(t *testing.T) {
+	l := NewLog(1)
+	for i := range 15 {
+		l.Observe(second+time.Duration(i)*time.Millisecond, crash(1, fmt.Sprint("t", i), 1))
+	}
+	require.Equal(t, Suspect, l.Judge(2*second, 1).Verdict)
+	l.Observe(2*second, crash(1, "u", 1))
+	require.Equal(t, Quarantined, l.Judge(2*second, 1).Verdict, "a single further one is no coincidence")
+}
+
+// TestOneCrashingTargetCondemnsNoRequest guards against refusing requests to a target that crashes whatever it is sent.
+func TestOneCrashingTargetCondemnsNoRequest(t *testing.T) {
+	l, now := observed(crash(1, "a", 1), crash(1, "a", 2), crash(1, "a", 3), crash(1, "a", 4))
+	require.Equal(t, Suspect, l.Judge(now, 1).Verdict)
+}
+
+// TestRequestBesideTheCrashingOneIsSpared guards against refusing a proper request that shared its targets with one that
+// crashes them.
+func TestRequestBesideTheCrashingOneIsSpared(t *testing.T) {
+	l, now := observed(crash(1, "a", 1), crash(1, "b", 1), crash(2, "b", 1), crash(1, "c", 1), crash(2, "c", 1), crash(1, "d", 1), crash(2, "d", 1))
+	require.Equal(t, Quarantined, l.Judge(now, 1).Verdict)
+	require.Equal(t, Suspect, l.Judge(now, 2).Verdict)
+}
+
+// TestLogIsBounded guards the memory against any number of facts.
+func TestLogIsBounded(t *testing.T) {
+	l := NewLog(1)
+	for i := range 3 * maxFacts {
+		l.Observe(time.Duration(i), crash(uint64(i), fmt.Sprint(i), 1))
+	}
+	require.Equal(t, maxFacts, l.Summary(0).Facts)
+	require.Len(t, l.requests, maxFacts)
+	require.Len(t, l.witnesses, maxFacts)
+	l.Observe(factLifetime+time.Hour, crash(1, "late", 1))
+	require.Equal(t, Summary{Facts: 1, Suspects: 1}, l.Summary(factLifetime+time.Hour))
+}
+
+// TestLogsConverge guards the exchange: whatever order and repetition facts arrive in, logs that have exchanged everything
+// judge alike and have equal digests.
+func TestLogsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		logs := []*Log{NewLog(1), NewLog(2), NewLog(3)}
+		now := time.Duration(0)
+		type link struct{ origin, position uint64 }
+		links := map[[2]int]link{}
+		exchange := func(to, from int) {
+			key := [2]int{to, from}
+			b := logs[from].Since(now, links[key].origin, links[key].position)
+			logs[to].Merge(now, b)
+			links[key] = link{b.Origin, b.Position}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rng.IntN(800)) * time.Millisecond
+			host, fingerprint := rng.IntN(3), uint64(rng.IntN(3))
+			switch rng.IntN(5) {
+			case 0, 1:
+				logs[host].Observe(now, crash(fingerprint, fmt.Sprint("t", rng.IntN(6)), rng.IntN(3)))
+			case 2:
+				logs[host].Observe(now, answer(fingerprint))
+			case 3:
+				exchange(host, (host+1+rng.IntN(2))%3)
+			case 4:
+				logs[host] = NewLog(uint64(100 + rng.IntN(1<<30))) // a restart
+				for other := range 3 {
+					delete(links, [2]int{host, other})
+				}
+			}
+		}
+		for range 4 {
+			for to := range 3 {
+				exchange(to, (to+1)%3)
+				exchange(to, (to+2)%3)
+			}
+		}
+		for host := 1; host < 3; host++ {
+			require.Equal(t, logs[0].Digest(), logs[host].Digest())
+			for fingerprint := range uint64(3) {
+				require.Equal(t, logs[0].Judge(now, fingerprint).Verdict, logs[host].Judge(now, fingerprint).Verdict)
+			}
+		}
+	})
+}
+
+// TestWitnessRelatesAttemptsToTheEnd guards against missing an end that becomes known before or after the attempt ends.
+func TestWitnessRelatesAttemptsToTheEnd(t *testing.T) {
+	attempt := func(fingerprint uint64, sent time.Duration) Attempt {
+		return Attempt{Request: &Request{Fingerprint: fingerprint}, Sent: sent}
+	}
+	var w Witness
+	lost, running, ran, old := attempt(1, second), attempt(2, second), attempt(3, second), attempt(4, -time.Hour)
+	for _, a := range []Attempt{lost, running, ran, old} {
+		w.Started(a)
+	}
+	require.False(t, w.Unanswered(second, old))
+	require.False(t, w.Unanswered(2*second, lost))
+	w.Ran(ran)
+	require.Equal(t, []Attempt{lost}, w.Ended(3*second, Deregistered))
+	later := attempt(5, 4*second)
+	w.Started(later)
+	require.False(t, w.Unanswered(5*second, later), "it was sent after the end")
+	require.Equal(t, []Attempt{running}, w.Ended(5*second, Gone), "what runs at an instance that is gone gets no answer")
+	require.Empty(t, w.Ended(5*second, Gone))
+
+	var leaving Witness
+	leaving.Started(lost)
+	require.False(t, leaving.Unanswered(2*second, lost))
+	leaving.Leaving()
+	require.Empty(t, leaving.Ended(3*second, Gone), "a planned end is no evidence")
+
+	var refuted Witness
+	refuted.Started(lost)
+	lost.Request.Answered = true
+	require.False(t, refuted.Unanswered(2*second, lost))
+	require.Empty(t, refuted.Ended(3*second, Gone), "another target has answered the request")
+}
--- /dev/null
+++ b/internal/evidence/log.go
@@ -0,0 +1,223 @@
+package evidence
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxFacts bounds a log: about 100 KiB in memory and in a batch. The fact of the oldest event is evicted first.
+	maxFacts = 1024
+	// maxBatch bounds the facts of one batch. The receiver asks for the rest with its next position.
+	maxBatch = 256
+	// factLifetime is how long a fact is kept after the event. It exceeds the longest quarantine, so that the request is
+	// still a suspect when that ends.
+	factLifetime = 30 * time.Minute
+)
+
+// Log holds the facts known to a host. It is safe for concurrent use.
+type Log struct {
+	origin uint64
+
+	mu       sync.Mutex
+	position uint64
+	digest   uint64 // the exclusive or of the hashes of all facts
+	records  map[factKey]*record
+	requests map[uint64]*history // by fingerprint
+	// witnesses holds the requests that were at each crashed instance.
+	witnesses map[Instance]map[uint64]bool
+	changed   chan struct{}
+}
+
+// history holds the facts about one request.
+type history struct {
+	crashes map[Instance]*record
+	// answered is the latest answer, or nil.
+	answered *record
+}
+
+// NewLog returns an empty log. origin must differ from that of every other log, those of earlier processes included.
+func NewLog(origin uint64) *Log {
+	return &Log{
+		origin:    origin,
+		records:   map[factKey]*record{},
+		requests:  map[uint64]*history{},
+		witnesses: map[Instance]map[uint64]bool{},
+		changed:   make(chan struct{}),
+	}
+}
+
+// Observe adds a fact that this host has seen. It returns false if the fact changes nothing.
+func (l *Log) Observe(now time.Duration, f Fact) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.add(now, f, true) {
+		return false
+	}
+	l.notify()
+	return true
+}
+
+// Merge adds the facts of another host and returns those that were new.
+func (l *Log) Merge(now time.Duration, b Batch) []Fact {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var added []Fact
+	for _, f := range b.Facts {
+		if f.Age >= 0 && l.add(now, f, false) {
+			added = append(added, f)
+		}
+	}
+	if len(added) > 0 {
+		l.notify()
+	}
+	return added
+}
+
+// add adds a fact unless it is known, outdated or refuted. The caller holds l.mu.
+func (l *Log) add(now time.Duration, f Fact, own bool) bool {
+	at := now - f.Age
+	h := l.requests[f.Fingerprint]
+	known := l.records[f.key()]
+	switch {
+	case f.Age > factLifetime || f.Kind != Crashed && f.Kind != Answered:
+		return false
+	case known != nil && (f.Kind == Crashed || at <= known.at):
+		return false
+	case f.Kind == Crashed && h != nil && h.answered != nil && at <= h.answered.at:
+		return false
+	}
+	if known != nil {
+		l.remove(known)
+	}
+	l.expire(now)
+	if len(l.records) >= maxFacts {
+		l.evictOldest()
+	}
+	if h = l.requests[f.Fingerprint]; h == nil {
+		h = &history{crashes: map[Instance]*record{}}
+		l.requests[f.Fingerprint] = h
+	}
+	l.position++
+	r := &record{fact: f, at: at, position: l.position, own: own}
+	l.records[f.key()] = r
+	l.digest ^= f.hash()
+	if f.Kind == Answered {
+		h.answered = r
+		l.refute(h, at)
+		return true
+	}
+	h.crashes[f.Instance] = r
+	if l.witnesses[f.Instance] == nil {
+		l.witnesses[f.Instance] = map[uint64]bool{}
+	}
+	l.witnesses[f.Instance][f.Fingerprint] = true
+	return true
+}
+
+// refute removes the crashes that are not later than an answer.
+func (l *Log) refute(h *history, answered time.Duration) {
+	for _, r := range h.crashes {
+		if r.at <= answered {
+			l.remove(r)
+		}
+	}
+}
+
+func (l *Log) remove(r *record) {
+	f := &r.fact
+	delete(l.records, f.key())
+	l.digest ^= f.hash()
+	h := l.requests[f.Fingerprint]
+	if f.Kind == Answered {
+		h.answered = nil
+	} else {
+		delete(h.crashes, f.Instance)
+		delete(l.witnesses[f.Instance], f.Fingerprint)
+		if len(l.witnesses[f.Instance]) == 0 {
+			delete(l.witnesses, f.Instance)
+		}
+	}
+	if len(h.crashes) == 0 && h.answered == nil {
+		delete(l.requests, f.Fingerprint)
+	}
+}
+
+func (l *Log) expire(now time.Duration) {
+	for _, r := range l.records {
+		if now-r.at > factLifetime {
+			l.remove(r)
+		}
+	}
+}
+
+func (l *Log) evictOldest() {
+	var oldest *record
+	for _, r := range l.records {
+		if oldest == nil || r.at < oldest.at {
+			oldest = r
+		}
+	}
+	l.remove(oldest)
+}
+
+// notify wakes those who wait for Changed. The caller holds l.mu.
+func (l *Log) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Changed returns the position of the latest fact, and a channel that is closed when there is a later one.
+func (l *Log) Changed() (uint64, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.position, l.changed
+}
+
+// Digest returns a hash of the known facts, which is equal for logs with the same facts.
+func (l *Log) Digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.digest
+}
+
+// Since returns the facts after a position of the log with the given origin; all facts if that is not this log's.
+func (l *Log) Since(now time.Duration, origin, position uint64) Batch {
+	return l.batch(now, origin, position, func(*record) bool { return true })
+}
+
+// OwnSince returns the facts after a position that this host has seen itself.
+func (l *Log) OwnSince(now time.Duration, position uint64) Batch {
+	return l.batch(now, l.origin, position, func(r *record) bool { return r.own })
+}
+
+func (l *Log) batch(now time.Duration, origin, position uint64, include func(*record) bool) Batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if origin != l.origin {
+		position = 0
+	}
+	b := Batch{Origin: l.origin, Position: l.position}
+	if position >= l.position {
+		return b
+	}
+	var found []*record
+	for _, r := range l.records {
+		if r.position > position && include(r) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b *record) int { return cmp.Compare(a.position, b.position) })
+	if len(found) > maxBatch {
+		found = found[:maxBatch]
+		b.Position = found[maxBatch-1].position
+	}
+	for _, r := range found {
+		f := r.fact
+		f.Age = max(0, now-r.at)
+		b.Facts = append(b.Facts, f)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/evidence/verdict.go
@@ -0,0 +1,134 @@
+package evidence
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+const (
+	// crashLimit is the weight of the crashes from which a request is refused.
+	crashLimit = 3
+	// minTargets is the number of targets that must have ended under a request before it is refused. A target that crashes
+	// regardless of what it is sent would otherwise condemn the requests that it gets.
+	minTargets = 2
+	// coincidence is the span within which crashes together weigh at most maxCoincident. Targets that end together, with a
+	// rack or a switch, end under every request that was sent to them all.
+	coincidence   = 300 * time.Millisecond
+	maxCoincident = 2
+	// firstQuarantine is how long a request is refused after the last crash. It doubles with each further crash, up to
+	// firstQuarantine << maxDoublings.
+	firstQuarantine = 2 * time.Minute
+	maxDoublings    = 3
+)
+
+// Verdict determines how a request may run.
+type Verdict uint8
+
+const (
+	// Unsuspected means that no unrefuted crash is known.
+	Unsuspected Verdict = iota
+	// Suspect means that targets ended under the request. It may run at one target at a time until one answers.
+	Suspect
+	// Quarantined means that the request must not reach any target.
+	Quarantined
+)
+
+// Judgement is a verdict with the inputs that led to it.
+type Judgement struct {
+	Verdict Verdict
+	// Crashes is the number of instances known to have ended under the request.
+	Crashes int
+	// Left is the time until the quarantine ends.
+	Left time.Duration
+}
+
+// Judge returns the verdict on a request.
+func (l *Log) Judge(now time.Duration, fingerprint uint64) Judgement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.requests[fingerprint]
+	if h == nil || len(h.crashes) == 0 {
+		return Judgement{}
+	}
+	j := Judgement{Verdict: Suspect, Crashes: len(h.crashes)}
+	weight, targets, latest := l.weigh(h)
+	if weight < crashLimit || targets < minTargets {
+		return j
+	}
+	if until := latest + firstQuarantine<<min(weight-crashLimit, maxDoublings); now < until {
+		j.Verdict, j.Left = Quarantined, until-now
+	}
+	return j
+}
+
+// IsSuspect reports whether an unrefuted crash of the request is known.
+func (l *Log) IsSuspect(fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.requests[fingerprint]
+	return h != nil && len(h.crashes) > 0
+}
+
+// weigh returns the weight of the crashes that count against a request, the number of their targets, and the time of the
+// latest one.
+func (l *Log) weigh(h *history) (weight, targets int, latest time.Duration) {
+	latest = math.MinInt64
+	var times []time.Duration
+	seen := map[model.TargetID]bool{}
+	for instance, r := range h.crashes {
+		if l.isExplained(instance, len(h.crashes)) {
+			continue
+		}
+		times = append(times, r.at)
+		seen[instance.Target] = true
+		latest = max(latest, r.at)
+	}
+	slices.Sort(times)
+	for i := 0; i < len(times); {
+		first, count := times[i], 0
+		for ; i < len(times) && times[i]-first <= coincidence; i++ {
+			count++
+		}
+		weight += min(count, maxCoincident)
+	}
+	return weight, len(seen), latest
+}
+
+// isExplained reports whether the end of an instance counts against another request that was there, because more
+// instances ended under that one. Requests that only share targets with the one that crashes them are spared by this.
+func (l *Log) isExplained(instance Instance, crashes int) bool {
+	for fingerprint := range l.witnesses[instance] {
+		if len(l.requests[fingerprint].crashes) > crashes {
+			return true
+		}
+	}
+	return false
+}
+
+// Summary describes a log for state dumps and metrics.
+type Summary struct {
+	Facts, Suspects, Quarantined int
+}
+
+// Summary returns a summary of the log.
+func (l *Log) Summary(now time.Duration) Summary {
+	l.mu.Lock()
+	s := Summary{Facts: len(l.records)}
+	var suspects []uint64
+	for fingerprint, h := range l.requests {
+		if len(h.crashes) > 0 {
+			suspects = append(suspects, fingerprint)
+		}
+	}
+	l.mu.Unlock()
+	s.Suspects = len(suspects)
+	for _, fingerprint := range suspects {
+		if l.Judge(now, fingerprint).Verdict == Quarantined {
+			s.Quarantined++
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/evidence/witness.go
@@ -0,0 +1,126 @@
+package evidence
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// unansweredLifetime is how long an attempt without an answer waits for the news that its target has ended. A target's
+	// registration ends three heartbeats after its process, or is replaced when the next instance starts, some seconds
+	// later.
+	unansweredLifetime = 12 * time.Second
+	// maxUnanswered bounds the attempts without an answer that are remembered for one instance.
+	maxUnanswered = 32
+)
+
+// Request is what one host knows of the answers to a request. Attempts of concurrent or later runs of a request that has not
+// been answered share it.
+type Request struct {
+	Fingerprint uint64
+	// Answered is set once a target has answered: then the request did not end the others.
+	Answered bool
+}
+
+// Attempt is an attempt of a request at an instance.
+type Attempt struct {
+	Request *Request
+	Sent    time.Duration
+}
+
+// Ending is how certain it is that an instance has ended.
+type Ending uint8
+
+const (
+	// Running means that nothing is known of an end.
+	Running Ending = iota
+	// Deregistered means that the instance's registration has ended. It may go on to answer what it has: some targets
+	// leave without announcing it.
+	Deregistered
+	// Gone means that the instance has ended: its address refuses connections or belongs to another instance.
+	Gone
+)
+
+// Witness relates the attempts at one instance to its end, in whichever order the two become known. It is not safe for
+// concurrent use.
+type Witness struct {
+	running    []Attempt
+	unanswered []Attempt
+	ending     Ending
+	// endKnown is when the end became known.
+	endKnown time.Duration
+	// planned means that the instance announced its end.
+	planned bool
+}
+
+// Started records an attempt that is about to be sent.
+func (w *Witness) Started(a Attempt) { w.running = append(w.running, a) }
+
+// Ran records the end of an attempt that says nothing of the target's end: it was answered, or did not reach the target.
+func (w *Witness) Ran(a Attempt) { w.removeRunning(a) }
+
+// Unanswered records the end of an attempt without an answer. It reports whether the target is known to have ended under
+// it.
+func (w *Witness) Unanswered(now time.Duration, a Attempt) bool {
+	if !w.removeRunning(a) || w.planned {
+		return false
+	}
+	if w.ending != Running {
+		return a.Sent <= w.endKnown && !a.Request.Answered
+	}
+	if a.Request.Answered {
+		return false
+	}
+	w.forget(now)
+	if len(w.unanswered) >= maxUnanswered {
+		w.unanswered = w.unanswered[1:]
+	}
+	w.unanswered = append(w.unanswered, a)
+	return false
+}
+
+func (w *Witness) removeRunning(a Attempt) bool {
+	at := slices.Index(w.running, a)
+	if at < 0 {
+		return false
+	}
+	last := len(w.running) - 1
+	w.running[at] = w.running[last]
+	w.running = w.running[:last]
+	return true
+}
+
+// forget drops attempts that have waited too long.
+func (w *Witness) forget(now time.Duration) {
+	w.unanswered = slices.DeleteFunc(w.unanswered, func(a Attempt) bool {
+		return a.Request.Answered || now-a.Sent > unansweredLifetime
+	})
+}
+
+// Leaving records that the instance has announced its end, which is then no evidence.
+func (w *Witness) Leaving() { w.planned, w.unanswered = true, nil }
+
+// Ended records the end of the instance and returns the attempts that it ended under. A later call with a more certain
+// ending may return further ones.
+func (w *Witness) Ended(now time.Duration, ending Ending) []Attempt {
+	if w.planned || ending <= w.ending {
+		return nil
+	}
+	if w.ending == Running {
+		w.endKnown = now
+	}
+	w.ending = ending
+	w.forget(now)
+	found := w.unanswered
+	w.unanswered = nil
+	if ending == Gone {
+		found = append(found, w.running...)
+		w.running = nil
+	}
+	return slices.DeleteFunc(found, func(a Attempt) bool { return a.Request.Answered })
+}
+
+// IsWaiting reports whether news of an end would be evidence.
+func (w *Witness) IsWaiting() bool {
+	return w.ending != Gone && (len(w.unanswered) > 0 || len(w.running) > 0)
+}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -117,12 +117,21 @@
 }
 
 // Probe implements Client.
-func (p *Pool) Probe(ctx context.Context, address string) error {
-	conn, err := p.dial(ctx, address)
+func (p *Pool) Probe(ctx context.Context, a *Attempt) error {
+	conns, idle, err := p.reserve(a)
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	if idle != nil { // another attempt has opened it since the loss
+		p.release(conns, idle, true)
+		return nil
+	}
+	conn, err := p.open(ctx, conns, a)
+	if err != nil {
+		return err
+	}
+	p.release(conns, conn, true)
+	return nil
 }
 
 // acquire returns an idle connection to the target, or opens one.
@@ -131,6 +140,12 @@
 	if err != nil || conn != nil {
 		return conns, conn, err
 	}
+	conn, err = p.open(ctx, conns, a)
+	return conns, conn, err
+}
+
+// open opens a connection that is already counted.
+func (p *Pool) open(ctx context.Context, conns *targetConns, a *Attempt) (*connection, error) {
 	p.counters.Opened.Add(1)
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
@@ -139,9 +154,9 @@
 		p.mu.Lock()
 		conns.openCount--
 		p.mu.Unlock()
-		return nil, nil, err
+		return nil, err
 	}
-	return conns, newConnection(opened), nil
+	return newConnection(opened), nil
 }
 
 // reserve returns an idle connection, or a nil connection if the caller must open one, which is already counted.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -100,8 +100,9 @@
 	// Do sends the attempt and returns the reply. With ErrFailure it also returns the reply. All other errors are from
 	// package targetclient: ErrNotSent, ErrShed, ErrDraining, ErrMismatch, ErrLost, ErrNoReply and ErrCancelled.
 	Do(ctx context.Context, attempt *Attempt) (*Reply, error)
-	// Probe opens and closes a connection to an address. It returns an error if the connection is not accepted.
-	Probe(ctx context.Context, address string) error
+	// Probe opens a connection to the attempt's target and keeps it for later attempts. It sends nothing. The error wraps
+	// syscall.ECONNREFUSED if nothing listens at the address.
+	Probe(ctx context.Context, attempt *Attempt) error
 }
 
 // replyError returns the error that corresponds to a reply, or nil for a success.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,71 +2,69 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
+	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
 const (
-	// probeThreshold is the number of lost attempts of a request from which its targets are probed. A single loss is far
-	// more often a connection reset than a crash.
-	probeThreshold = 2
 	// probeDelay is the delay between a loss and the probe of its target. After it, a crashed process refuses connections.
 	probeDelay   = 30 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
-	// crashLimit is the number of targets that a request may crash before it is refused.
-	crashLimit = 3
-	// crashLifetime is how long the losses and crashes of a request are remembered after the latest of them.
-	crashLifetime = 2 * time.Minute
-	// maxSuspects bounds the number of suspect requests; the least recently updated one is evicted first.
-	maxSuspects = 4096
+	// probeInterval is the minimum time between two probes of an instance.
+	probeInterval = 250 * time.Millisecond
+	// maxProbes bounds the concurrent probes. Losses beyond it are left to the news of the registry.
+	maxProbes = 8
+	// maxDoubtful bounds the requests without an answer that are remembered.
+	maxDoubtful = 4096
 )
 
-// Crash records that a target crashed while it ran a request. Hosts share crashes with each other.
-type Crash struct {
-	Fingerprint uint64
-	Target      model.TargetID
-	Incarnation model.Incarnation
-}
-
-// LossVerdict is what a host concludes from a lost attempt or from a message about one.
+// LossVerdict is what a host concludes about an attempt that got no answer.
 type LossVerdict string
 
 const (
-	// LossNotProbed means that the loss alone is no reason to ask for the target's state.
-	LossNotProbed LossVerdict = "not probed"
-	// LossTargetAlive means that the target accepted a connection after the loss.
-	LossTargetAlive LossVerdict = "target alive"
-	// LossTargetCrashed means that the target refused connections after the loss.
-	LossTargetCrashed LossVerdict = "target crashed"
-	// LossLearned means that another host has found the crash.
+	// LossTargetAccepts, the result of a probe, means that the target's address accepts connections, which proves neither its life nor its end.
+	LossTargetAccepts LossVerdict = "address accepts"
+	// LossTargetSilent, the result of a probe, means that the target's address did not answer a probe.
+	LossTargetSilent LossVerdict = "address silent"
+	// LossTargetRefuses means that the target's address refuses connections: the target has ended.
+	LossTargetRefuses LossVerdict = "target refuses"
+	// LossTargetReplaced means that another instance has the target's ID or its address.
+	LossTargetReplaced LossVerdict = "target replaced"
+	// LossTargetDeregistered means that the target's registration ended within seconds of the loss.
+	LossTargetDeregistered LossVerdict = "target deregistered"
+	// LossLearned means that another host has found that the target ended.
 	LossLearned LossVerdict = "learned"
+	// LossRefuted means that a target has answered the request, which therefore did not crash the others.
+	LossRefuted LossVerdict = "refuted by an answer"
 )
 
-// LossDecision is a verdict with its inputs.
+// LossDecision is a verdict with its inputs and the judgement on the request that follows.
 type LossDecision struct {
-	Crash
-	Verdict LossVerdict
-	// Crashes is the number of targets that the request is known to have crashed, this one included.
-	Crashes int
-}
-
-// suspectRequest is the crash history of a request that lost attempts or is known to have crashed a target.
-type suspectRequest struct {
-	// unprobed holds the targets of lost attempts that have not been probed yet.
-	unprobed []pickedTarget
-	losses   int
-	crashed  map[Crash]bool
-	updated  time.Duration
+	// Fingerprint identifies the request; it is 0 for the result of a probe that shows no end.
+	Fingerprint uint64
+	Instance    evidence.Instance
+	Verdict     LossVerdict
+	Judgement   evidence.Judgement
+	// Source is the host that found it; empty for this one.
+	Source model.HostID
 }
 
-// crashTracker finds requests that crash targets. It is guarded by the engine's mutex.
-type crashTracker struct {
-	// suspects is keyed by the fingerprint of the request.
-	suspects map[uint64]*suspectRequest
+// endings maps verdicts to the certainty of the end.
+var endings = map[LossVerdict]evidence.Ending{
+	LossTargetRefuses:      evidence.Gone,
+	LossTargetReplaced:     evidence.Gone,
+	LossTargetDeregistered: evidence.Deregistered,
 }
 
 // fingerprint returns a hash of the content of a request. It does not depend on the caller or the request ID.
@@ -80,106 +78,190 @@
 	return digest.Sum64()
 }
 
-// getOrCreate returns the history of a request, or a new one if there is none or it has expired.
-func (c *crashTracker) getOrCreate(now time.Duration, fingerprint uint64) *suspectRequest {
-	s := c.suspects[fingerprint]
-	if s == nil || now-s.updated > crashLifetime {
-		if len(c.suspects) >= maxSuspects {
-			c.evictOldest()
-		}
-		s = &suspectRequest{crashed: map[Crash]bool{}}
-		c.suspects[fingerprint] = s
+func (p *pickedTarget) instance() evidence.Instance {
+	return evidence.Instance{Target: p.target.Target, Incarnation: p.target.Incarnation}
+}
+
+// requestOf returns what is known of the answers to a request. The caller holds e.mu.
+func (e *Engine) requestOf(fingerprint uint64) *evidence.Request {
+	if known := e.doubtful[fingerprint]; known != nil {
+		return known
 	}
-	s.updated = now
-	return s
+	return &evidence.Request{Fingerprint: fingerprint}
 }
 
-func (c *crashTracker) evictOldest() {
-	var oldest uint64 // fingerprint
-	var at time.Duration
-	first := true
-	for fingerprint, s := range c.suspects {
-		if first || s.updated < at {
-			oldest, at, first = fingerprint, s.updated, false
-		}
+// judge returns the judgement on a request.
+func (e *Engine) judge(fingerprint uint64) evidence.Judgement {
+	return e.cfg.Evidence.Judge(monotime.Now(), fingerprint)
+}
+
+// quarantineError returns the error for a request that crashes targets.
+func quarantineError(j evidence.Judgement, execution fault.Execution) *fault.Error {
+	return fault.New(fault.Quarantined, execution, "send another request", "the request has crashed %d targets", j.Crashes).
+		WithRetryAfter(max(minRetryAfter, j.Left))
+}
+
+// recordEnding updates the evidence after an attempt. It returns the decisions to report. The caller holds e.mu.
+func (r *run) recordEnding(p *pickedTarget, reply *exchange.Reply, err error) []LossDecision {
+	e, attempt, now := r.engine, evidence.Attempt{Request: r.evidence, Sent: p.sent}, monotime.Now()
+	witness := &p.state.witness
+	switch {
+	case err == nil, errors.Is(err, exchange.ErrFailure) && reply.Signature != "":
+		witness.Ran(attempt)
+		return r.recordAnswer(now)
+	case errors.Is(err, targetclient.ErrDraining):
+		witness.Ran(attempt)
+		return e.recordEnd(p.state, LossTargetReplaced)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		witness.Ran(attempt)
+		return e.recordEnd(p.state, LossTargetRefuses)
+	case scatter.Classify(err).NotRun():
+		witness.Ran(attempt)
+		return nil
+	}
+	r.unanswered = true
+	if witness.Unanswered(now, attempt) {
+		return e.recordCrashes(p.state, []evidence.Attempt{attempt}, p.state.endVerdict)
 	}
-	delete(c.suspects, oldest)
+	if r.evidence.Answered {
+		return nil
+	}
+	if len(e.doubtful) >= maxDoubtful {
+		clear(e.doubtful) // their attempts at instances that end are then blamed although another run was answered
+	}
+	e.doubtful[r.fingerprint] = r.evidence
+	if errors.Is(err, targetclient.ErrLost) {
+		e.startProbe(*p)
+	}
+	return nil
 }
 
-// recordLoss counts a lost attempt and returns the targets to probe now.
-func (c *crashTracker) recordLoss(now time.Duration, fingerprint uint64, p pickedTarget) []pickedTarget {
-	s := c.getOrCreate(now, fingerprint)
-	s.losses++
-	s.unprobed = append(s.unprobed, p)
-	if s.losses < probeThreshold {
+// recordAnswer records that a target has answered the request. The caller holds e.mu.
+func (r *run) recordAnswer(now time.Duration) []LossDecision {
+	e := r.engine
+	if r.evidence.Answered {
+		return nil
+	}
+	r.evidence.Answered = true
+	delete(e.doubtful, r.fingerprint)
+	if !e.cfg.Evidence.IsSuspect(r.fingerprint) {
 		return nil
 	}
-	suspected := s.unprobed
-	s.unprobed = nil
-	return suspected
+	e.cfg.Evidence.Observe(now, evidence.Fact{Kind: evidence.Answered, Fingerprint: r.fingerprint})
+	return []LossDecision{{Fingerprint: r.fingerprint, Verdict: LossRefuted, Judgement: e.judge(r.fingerprint)}}
 }
 
-// recordCrash adds a crash. It returns false if the crash was known already.
-func (c *crashTracker) recordCrash(now time.Duration, crash Crash) bool {
-	s := c.getOrCreate(now, crash.Fingerprint)
-	if s.crashed[crash] {
-		return false
+// recordEnd records that an instance has ended. The caller holds e.mu.
+func (e *Engine) recordEnd(t *targetState, verdict LossVerdict) []LossDecision {
+	t.endVerdict = verdict
+	return e.recordCrashes(t, t.witness.Ended(monotime.Now(), endings[verdict]), verdict)
+}
+
+// recordCrashes adds the end of an instance to the evidence against the requests that were there.
+func (e *Engine) recordCrashes(t *targetState, attempts []evidence.Attempt, verdict LossVerdict) []LossDecision {
+	now := monotime.Now()
+	instance := evidence.Instance{Target: t.id, Incarnation: t.incarnation}
+	var decisions []LossDecision
+	for _, a := range attempts {
+		fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Age: now - a.Sent}
+		if e.cfg.Evidence.Observe(now, fact) {
+			decisions = append(decisions, LossDecision{
+				Fingerprint: fact.Fingerprint, Instance: instance, Verdict: verdict, Judgement: e.judge(fact.Fingerprint),
+			})
+		}
 	}
-	s.crashed[crash] = true
-	return true
+	return decisions
 }
 
-// isQuarantined reports whether the request has crashed too many targets.
-func (c *crashTracker) isQuarantined(now time.Duration, fingerprint uint64) bool {
-	s := c.suspects[fingerprint]
-	return s != nil && now-s.updated <= crashLifetime && len(s.crashed) >= crashLimit
+// recordRegistrations compares the instances with attempts to the registered ones. The caller holds e.mu.
+func (e *Engine) recordRegistrations(previous, current *RoutingState) []LossDecision {
+	var decisions []LossDecision
+	moved := newAddresses(previous, current)
+	for id, t := range e.targets {
+		registered, ok := current.registered[id]
+		switch holder := moved[t.address]; {
+		case ok && registered.Incarnation == t.incarnation && registered.Draining:
+			t.witness.Leaving()
+		case !t.witness.IsWaiting():
+		case ok && registered.Incarnation > t.incarnation, holder != "" && holder != id:
+			decisions = append(decisions, e.recordEnd(t, LossTargetReplaced)...)
+		case !ok:
+			decisions = append(decisions, e.recordEnd(t, LossTargetDeregistered)...)
+		}
+	}
+	return decisions
 }
 
-// RecordCrash records a crash that another host has detected.
-func (e *Engine) RecordCrash(crash Crash) {
-	e.mu.Lock()
-	isNew := e.crashes.recordCrash(e.now(), crash)
-	e.mu.Unlock()
-	if isNew {
-		e.observeLoss(crash, LossLearned)
+// newAddresses returns the addresses of the targets that were not registered before.
+func newAddresses(previous, current *RoutingState) map[string]model.TargetID {
+	added := map[string]model.TargetID{}
+	if previous == nil {
+		return added
+	}
+	for id, t := range current.registered {
+		if !previous.IsRegistered(id) {
+			added[t.Address] = id
+		}
+	}
+	return added
+}
+
+// ReportLearned reports facts that another host has found.
+func (e *Engine) ReportLearned(from model.HostID, facts []evidence.Fact) {
+	decisions := make([]LossDecision, len(facts))
+	for i, f := range facts {
+		decisions[i] = LossDecision{
+			Fingerprint: f.Fingerprint, Instance: f.Instance, Verdict: LossLearned, Judgement: e.judge(f.Fingerprint), Source: from,
+		}
+		if f.Kind == evidence.Answered {
+			decisions[i].Verdict = LossRefuted
+		}
 	}
+	e.reportLosses(decisions)
 }
 
-// observeLoss tells the observer about a verdict.
-func (e *Engine) observeLoss(crash Crash, verdict LossVerdict) {
+// reportLosses passes decisions to the observer. The caller does not hold e.mu.
+func (e *Engine) reportLosses(decisions []LossDecision) {
 	if e.cfg.Observer == nil {
 		return
 	}
-	e.mu.Lock()
-	crashes := 0
-	if s := e.crashes.suspects[crash.Fingerprint]; s != nil {
-		crashes = len(s.crashed)
+	for _, d := range decisions {
+		e.cfg.Observer.LossDecided(d)
 	}
-	e.mu.Unlock()
-	e.cfg.Observer.LossDecided(LossDecision{Crash: crash, Verdict: verdict, Crashes: crashes})
 }
 
-func crashOf(p pickedTarget, fingerprint uint64) Crash {
-	return Crash{Fingerprint: fingerprint, Target: p.target.Target, Incarnation: p.target.Incarnation}
+// startProbe asks for the state of a target that lost an attempt, unless that is being done already. The caller holds e.mu.
+func (e *Engine) startProbe(p pickedTarget) {
+	now := monotime.Now()
+	if p.state.probing || p.state.probed && now < p.state.nextProbe || e.probes >= maxProbes {
+		return
+	}
+	p.state.probing, p.state.probed, p.state.nextProbe = true, true, now+probeInterval
+	e.probes++
+	e.tasks.Go(func() { e.probe(p) })
 }
 
-// probe checks whether the target of a lost attempt has crashed, and reports a new crash to the observer.
-func (e *Engine) probe(p pickedTarget, fingerprint uint64) {
+func (e *Engine) probe(p pickedTarget) {
 	timer := time.NewTimer(probeDelay)
 	defer timer.Stop()
 	<-timer.C
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	crash := crashOf(p, fingerprint)
-	if e.cfg.Client.Probe(ctx, p.target.Address) == nil {
-		e.observeLoss(crash, LossTargetAlive)
-		return
-	}
+	err := e.cfg.Client.Probe(ctx, &exchange.Attempt{
+		Target: p.target.Target, Address: p.target.Address, MaxConnections: p.connections, Deadline: time.Now().Add(probeTimeout),
+	})
 	e.mu.Lock()
-	isNew := e.crashes.recordCrash(e.now(), crash)
-	e.mu.Unlock()
-	if isNew && e.cfg.Observer != nil {
-		e.cfg.Observer.TargetCrashed(crash)
+	p.state.probing = false
+	e.probes--
+	var decisions []LossDecision
+	switch {
+	case err == nil:
+		decisions = []LossDecision{{Instance: p.instance(), Verdict: LossTargetAccepts}}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		decisions = e.recordEnd(p.state, LossTargetRefuses)
+	default:
+		decisions = []LossDecision{{Instance: p.instance(), Verdict: LossTargetSilent}}
 	}
-	e.observeLoss(crash, LossTargetCrashed)
+	e.mu.Unlock()
+	e.reportLosses(decisions)
 }
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
@@ -23,30 +26,15 @@
 	down map[string]bool
 }
 
-func (c *crashingClient) Probe(_ context.Context, address string) error {
+func (c *crashingClient) Probe(_ context.Context, a *exchange.Attempt) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.down[address] {
-		return errors.New("connection refused")
+	if c.down[a.Address] {
+		return syscall.ECONNREFUSED
 	}
 	return nil
 }
 
-// crashBroadcaster is an Observer that shares crashes with all hosts.
-type crashBroadcaster struct {
-	others func() []*Engine
-}
-
-func (b crashBroadcaster) RequestEnded(Trace) {}
-
-func (b crashBroadcaster) LossDecided(LossDecision) {}
-
-func (b crashBroadcaster) TargetCrashed(crash Crash) {
-	for _, e := range b.others() {
-		e.RecordCrash(crash)
-	}
-}
-
 // TestCrashingRequestIsQuarantined guards against a request that crashes every target that runs it and that its caller
 // retries at one host after another. It also checks that requests are not quarantined if only their connections were
 // lost.
@@ -79,9 +67,10 @@
 				for i := range targets {
 					targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
 				}
+				shared := evidence.NewLog(1) // package relay has the tests of its exchange between hosts
 				for h := range 4 {
 					e := New(Config{Client: c, Host: model.HostID(fmt.Sprint("host", h)), ExtraRatio: 0.2, ExtraSlack: 104,
-						Observer: crashBroadcaster{func() []*Engine { return engines }}})
+						Evidence: shared})
 					e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(4)))
 					engines = append(engines, e)
 				}
@@ -119,3 +108,183 @@
 		})
 	}
 }
+
+// outageClient is a fake client whose targets end and start again at random, under whatever they run.
+type outageClient struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	downAt map[string]time.Time // the start of the latest outage of an address
+	upAt   map[string]time.Time
+	lossy  float64 // the share of answers that are lost
+}
+
+func (c *outageClient) isDown(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.upAt[address])
+}
+
+// end ends a target for the given time.
+func (c *outageClient) end(address string, length time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.downAt[address], c.upAt[address] = time.Now(), time.Now().Add(length)
+}
+
+func (c *outageClient) Do(ctx context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
+	if c.isDown(a.Address) {
+		return nil, fmt.Errorf("%w: %w", targetclient.ErrNotSent, syscall.ECONNREFUSED)
+	}
+	started := time.Now()
+	c.mu.Lock()
+	took, lost := time.Duration(5+c.rng.IntN(40))*ms, c.rng.Float64() < c.lossy
+	c.mu.Unlock()
+	for time.Since(started) < took {
+		time.Sleep(ms)
+		c.mu.Lock()
+		ended := c.downAt[a.Address].After(started)
+		c.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return nil, targetclient.ErrCancelled
+		case ended:
+			return nil, targetclient.ErrLost
+		}
+	}
+	if lost {
+		return nil, targetclient.ErrLost
+	}
+	return &exchange.Reply{Status: 200, ReplyInfo: exchange.ReplyInfo{Signature: string(a.Target)}}, nil
+}
+
+func (c *outageClient) Probe(_ context.Context, a *exchange.Attempt) error {
+	if c.isDown(a.Address) {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+// TestCrashesForOtherReasonsRefuseNoRequest guards against refusing proper requests, popular ones among them, because targets
+// crash for other reasons: one after the other, all targets of a service at once, and beside lost answers.
+func TestCrashesForOtherReasonsRefuseNoRequest(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			c := &outageClient{rng: rng, downAt: map[string]time.Time{}, upAt: map[string]time.Time{}, lossy: 0.05}
+			_, table := newEngine(t, &fakeClient{}, 4, 10, singleRoute(true), gatherRoute(10))
+			services := []model.ServiceID{"single"}
+			for i := range 10 {
+				services = append(services, shardName(i))
+			}
+			targets := targetsOf(services...)
+			for i := range targets {
+				targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
+			}
+			shared := evidence.NewLog(1)
+			var engines []*Engine
+			for h := range 4 {
+				e := New(Config{Client: c, Host: model.HostID(fmt.Sprint("host", h)), ExtraRatio: 0.2, ExtraSlack: 104, Evidence: shared})
+				e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(4)))
+				engines = append(engines, e)
+			}
+			var waiting sync.WaitGroup
+			var mu sync.Mutex
+			quarantined, answered := 0, 0
+			for i := range 1500 {
+				waiting.Go(func() {
+					r := newRequest(fmt.Sprint(i), &table.Routes[i%2])
+					r.Request.URI = fmt.Sprint("/", i%16)
+					outcome := engines[i%4].Do(t.Context(), r)
+					defer outcome.Release()
+					mu.Lock()
+					defer mu.Unlock()
+					if outcome.Err == nil {
+						answered++
+					} else if outcome.Err.Kind == fault.Quarantined {
+						quarantined++
+					}
+				})
+				time.Sleep(25 * ms)
+				c.mu.Lock()
+				ends, at, length := rng.IntN(8) == 0, rng.IntN(len(targets)), time.Duration(200+rng.IntN(2000))*ms
+				c.mu.Unlock()
+				if ends {
+					c.end(targets[at].Address, length)
+				}
+				if i%400 == 200 { // all targets of the single service, then of the whole deployment
+					for at := range targets {
+						if at < replicas || i > 1000 {
+							c.end(targets[at].Address, 800*ms)
+						}
+					}
+				}
+			}
+			waiting.Wait()
+			for _, e := range engines {
+				e.Wait()
+			}
+			t.Logf("seed %d: %d answered, %d quarantined, %+v", seed, answered, quarantined, shared.Summary(monotime.Now()))
+			require.Zero(t, quarantined, "seed %d", seed)
+			require.Greater(t, answered, 1000, "seed %d", seed)
+		})
+	}
+}
+
+// TestSuspectIsNotSentOnWhileItRuns guards against further attempts of a request that is in progress when its crashes become
+// known.
+func TestSuspectIsNotSentOnWhileItRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &crashingClient{down: map[string]bool{}}
+		c.respond = func(a *exchange.Attempt) (time.Duration, error) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.down[a.Address] = true
+			return 40 * ms, targetclient.ErrLost
+		}
+		route := singleRoute(true)
+		route.MaxAttempts = 10
+		e, table := newEngine(t, c, 1, 0, route)
+		targets := targetsOf("single", "single", "single", "single")
+		for i := range targets {
+			targets[i].Target += model.TargetID(fmt.Sprint("-", i))
+			targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
+		}
+		e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
+		started := time.Now()
+		outcome := e.Do(t.Context(), newRequest("a", &table.Routes[0]))
+		took := time.Since(started)
+		e.Wait()
+		require.Equal(t, fault.OutcomeUnknown, outcome.Err.Execution, "it has run")
+		require.LessOrEqual(t, len(c.arrivals), 3)
+		require.Less(t, took, 300*ms, "the answer does not wait for the deadline")
+	})
+}
+
+// TestSilentAndReplacedTargetsCount guards against not seeing the end of a target that reset no connection, or whose address
+// accepts connections again at once: the registry names the next instance.
+func TestSilentAndReplacedTargetsCount(t *testing.T) {
+	for _, err := range []error{targetclient.ErrLost, targetclient.ErrNoReply} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &crashingClient{down: map[string]bool{}}
+			c.respond = func(*exchange.Attempt) (time.Duration, error) { return ms, err }
+			route := singleRoute(true)
+			route.MaxAttempts = 1
+			e, table := newEngine(t, c, 1, 0, route)
+			targets := targetsOf("single")
+			for incarnation := range 4 {
+				for i := range targets {
+					targets[i].Incarnation = model.Incarnation(incarnation + 1)
+					targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
+				}
+				out := map[model.DataCentreID]bool{"dc0": true, "dc1": true, "dc2": true} // all but one, so that the targets differ
+				delete(out, model.DataCentreID(fmt.Sprint("dc", incarnation%replicas)))
+				e.SetRoutingState(NewRoutingState(table, targets, out, fleetOf(1)))
+				outcome := e.Do(t.Context(), newRequest("a", &table.Routes[0]))
+				require.Equal(t, incarnation == 3, outcome.Err.Kind == fault.Quarantined, "%v, run %d: %v", err, incarnation+1, outcome.Err)
+				time.Sleep(time.Second)
+			}
+			e.Wait()
+			require.Len(t, c.arrivals, 3)
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/httpreply"
@@ -33,7 +35,9 @@
 	ExtraRatio, ExtraSlack float64
 	// ReplyBytes limits the bytes of targets' replies held in memory at a time; 0 means 64 MiB.
 	ReplyBytes int64
-	// Observer is notified of completed requests and detected crashes; it may be nil.
+	// Evidence holds what the fleet knows of requests that crash targets; nil means evidence of this host only.
+	Evidence *evidence.Log
+	// Observer is notified of completed requests and of decisions about lost attempts; it may be nil.
 	Observer Observer
 }
 
@@ -41,9 +45,7 @@
 type Observer interface {
 	// RequestEnded is called once for each request.
 	RequestEnded(Trace)
-	// TargetCrashed is called for each crash that this host detects and has not learned from another host before.
-	TargetCrashed(Crash)
-	// LossDecided is called for each lost attempt and for each crash learned from another host.
+	// LossDecided is called for each verdict on an attempt that got no answer.
 	LossDecided(LossDecision)
 }
 
@@ -90,7 +92,10 @@
 	services map[model.ServiceID]*serviceState
 	routes   map[string]*replica.LatencyHistogram
 	splitter *routing.Splitter
-	crashes  crashTracker
+	// doubtful holds the requests with attempts that got no answer, by fingerprint, until one is answered.
+	doubtful map[uint64]*evidence.Request
+	// probes counts the probes in progress.
+	probes int
 }
 
 // New returns an engine. It refuses requests until SetRoutingState is called.
@@ -98,6 +103,9 @@
 	if cfg.ReplyBytes <= 0 {
 		cfg.ReplyBytes = defaultReplyBytes
 	}
+	if cfg.Evidence == nil {
+		cfg.Evidence = evidence.NewLog(rand.Uint64())
+	}
 	return &Engine{
 		cfg:      cfg,
 		memory:   httpreply.NewAccount(cfg.ReplyBytes),
@@ -106,7 +114,7 @@
 		services: map[model.ServiceID]*serviceState{},
 		routes:   map[string]*replica.LatencyHistogram{},
 		splitter: routing.NewSplitter(),
-		crashes:  crashTracker{suspects: map[uint64]*suspectRequest{}},
+		doubtful: map[uint64]*evidence.Request{},
 		changed:  make(chan struct{}),
 	}
 }
@@ -125,9 +133,12 @@
 
 // SetRoutingState replaces the configuration and the targets. It drops the state of services, routes and idle targets
 // that are no longer part of them.
-func (e *Engine) SetRoutingState(rs *RoutingState) {
+func (e *Engine) SetRoutingState(rs *RoutingState) { e.reportLosses(e.replaceRoutingState(rs)) }
+
+func (e *Engine) replaceRoutingState(rs *RoutingState) []LossDecision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	decisions := e.recordRegistrations(e.routingState.Load(), rs)
 	e.routingState.Store(rs)
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -150,6 +161,7 @@
 	for _, s := range e.services {
 		s.resize(e.cfg, rs.Fleet.Part)
 	}
+	return decisions
 }
 
 // SetBudget changes the limits of extra attempts. See Config.ExtraRatio and Config.ExtraSlack.
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/budget"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 	"github.com/knapweedrouter/knapweedrouter/internal/snapshot"
@@ -49,6 +51,9 @@
 	e := p.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if p.isHeldBack(kind) {
+		return "", scatter.NoTarget
+	}
 	rs := e.routingState.Load()
 	service := e.service(model.ServiceID(part.ID), rs.Fleet.Part)
 	extra := p.isExtra(part.ID, kind)
@@ -69,6 +74,8 @@
 	}
 	estimate := state.stats.Estimate(now, service.latency.Median(now))
 	state.stats.Start(now)
+	sent := monotime.Now()
+	state.witness.Started(evidence.Attempt{Request: p.run.evidence, Sent: sent})
 	p.run.picked = append(p.run.picked, pickedTarget{
 		target:      chosen,
 		state:       state,
@@ -77,10 +84,31 @@
 		connections: limit,
 		part:        part.ID,
 		extra:       extra,
+		sent:        sent,
 	})
 	return chosen.Target, scatter.Picked
 }
 
+// isHeldBack reports whether no attempt may be sent because of crashes that became known while the request ran. A quarantined
+// request gets none at all. A suspect runs at one target at a time and not again after an attempt without an answer, until
+// another target has answered. The caller holds the engine's mutex.
+func (p *picker) isHeldBack(kind scatter.Kind) bool {
+	r := p.run
+	switch p.engine.judge(r.fingerprint).Verdict {
+	case evidence.Quarantined:
+		r.condemned = true
+		return true
+	case evidence.Suspect:
+		if r.evidence.Answered || kind == scatter.First || !kind.IsHedge() && !r.unanswered {
+			return false
+		}
+		// Without other shards there is nothing left to wait for.
+		r.condemned = len(r.request.Route.Shards) == 0 && r.openAttempts.Load() == 0
+		return true
+	}
+	return false
+}
+
 // isExtra reports whether the attempt adds load because another attempt at the same part is in flight or has reached a
 // target, even if that target refused it. Attempts that were not sent do not count.
 func (p *picker) isExtra(part model.ShardID, kind scatter.Kind) bool {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/httpreply"
@@ -59,6 +60,8 @@
 	part        model.ShardID
 	// extra means that the attempt was charged to the budget.
 	extra bool
+	// sent is the monotime reading at which the target was picked.
+	sent time.Duration
 }
 
 // run is the execution of one request. Unless noted otherwise, its fields are used only by the goroutine of the request.
@@ -79,8 +82,13 @@
 	arrived        time.Duration
 	// memory is charged for the replies.
 	memory *httpreply.Account
-	// fingerprint identifies the content of the request.
+	// fingerprint identifies the content of the request. evidence is what is known of its answers; it is guarded by the
+	// engine's mutex.
 	fingerprint uint64
+	evidence    *evidence.Request
+	// condemned means that the request turned out to crash targets while it ran. unanswered means that an attempt reached a
+	// target and got no answer; it is guarded by the engine's mutex.
+	condemned, unanswered bool
 	// openAttempts counts the attempts that have not ended. Attempts decrement it concurrently.
 	openAttempts atomic.Int32
 	// interrupted means that the context ended before the request was answered.
@@ -98,11 +106,13 @@
 func (e *Engine) newRun(request Request) *run {
 	rs := e.routingState.Load()
 	services := request.Route.Shards
+	content := fingerprint(request.Request)
+	e.mu.Lock()
+	known := e.requestOf(content)
 	if len(services) == 0 {
-		e.mu.Lock()
 		services = []model.ServiceID{e.splitter.Next(request.Route)}
-		e.mu.Unlock()
 	}
+	e.mu.Unlock()
 	chosen := rs.snapshotOf(request.Route, services)
 	r := &run{
 		engine:   e,
@@ -114,12 +124,15 @@
 		arrived:  request.Arrived.Sub(e.start),
 		memory:   e.memory.Open(maxRequestBytes),
 
-		fingerprint: fingerprint(request.Request),
+		fingerprint: content,
+		evidence:    known,
 	}
 	r.attemptContext, r.cancel = context.WithCancel(context.Background())
 	r.trace = newTrace(request, rs)
 	r.trace.Fingerprint = r.fingerprint
-	r.machine = scatter.New(r.config(chosen), &picker{engine: e, run: r})
+	cfg := r.config(chosen)
+	cfg.Suspect = e.cfg.Evidence.IsSuspect(content)
+	r.machine = scatter.New(cfg, &picker{engine: e, run: r})
 	return r
 }
 
@@ -141,6 +154,7 @@
 		AtMostOnce:      !route.Repeatable,
 		AttemptsPerPart: max(1, route.MaxAttempts),
 		RetryLost:       true,
+		RetryNotRun:     true,
 	}
 	if len(route.Shards) > 0 {
 		cfg.Mode = scatter.Fast
@@ -163,13 +177,11 @@
 
 // checkQuarantine returns an error if the request has crashed too many targets.
 func (r *run) checkQuarantine() *fault.Error {
-	e := r.engine
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.crashes.isQuarantined(e.now(), r.fingerprint) {
+	j := r.engine.judge(r.fingerprint)
+	if j.Verdict != evidence.Quarantined {
 		return nil
 	}
-	return fault.New(fault.Quarantined, fault.NotRun, "send another request", "the request has crashed %d targets", crashLimit)
+	return quarantineError(j, fault.NotRun)
 }
 
 // drive runs the state machine until the request is answered, refused or interrupted.
@@ -180,6 +192,10 @@
 	firstSendDeadline := r.arrived + time.Duration(firstSendShare*float64(r.objective()))
 	r.sendAttempts(r.machine.Tick(r.engine.now()))
 	for !r.machine.Done() {
+		if r.condemned {
+			r.sendAttempts(r.machine.Stop())
+			return
+		}
 		now := r.engine.now()
 		if len(r.picked) == 0 && now >= firstSendDeadline {
 			r.neverSent = true
@@ -242,7 +258,7 @@
 		MaxReplyBytes:  r.replyLimit(),
 		Memory:         r.memory,
 	})
-	r.recordResult(p, started, reply, err)
+	r.engine.reportLosses(r.recordResult(p, started, reply, err))
 	r.openAttempts.Add(-1)
 	select {
 	case r.events <- event{attempt: number, reply: reply, err: err}:
@@ -258,8 +274,9 @@
 	return httpreply.MaxBodyBytes
 }
 
-// recordResult updates the statistics of the target, its service and the route, and the budget.
-func (r *run) recordResult(p pickedTarget, started time.Duration, reply *exchange.Reply, err error) {
+// recordResult updates the statistics of the target, its service and the route, the budget, and the evidence of crashes. It
+// returns the decisions about the latter.
+func (r *run) recordResult(p pickedTarget, started time.Duration, reply *exchange.Reply, err error) []LossDecision {
 	e := r.engine
 	now := e.now()
 	e.mu.Lock()
@@ -289,15 +306,7 @@
 	default:
 		stats.RecordFailure(now, started)
 	}
-	if errors.Is(err, targetclient.ErrLost) {
-		suspects := e.crashes.recordLoss(now, r.fingerprint, p)
-		if len(suspects) == 0 {
-			e.tasks.Go(func() { e.observeLoss(crashOf(p, r.fingerprint), LossNotProbed) })
-		}
-		for _, suspected := range suspects {
-			e.tasks.Go(func() { e.probe(suspected, r.fingerprint) })
-		}
-	}
+	return r.recordEnding(&p, reply, err)
 }
 
 func (e *Engine) routeLatencies(name string) *replica.LatencyHistogram {
@@ -342,6 +351,8 @@
 	switch {
 	case r.interrupted:
 		return Outcome{Err: interruptedError(context.Cause(ctx), result.Execution)}
+	case r.condemned:
+		return Outcome{Err: r.condemnedError(result.Execution)}
 	case answered >= required:
 		return Outcome{Replies: replies}
 	case len(r.request.Route.Shards) == 0 && r.failure != nil:
@@ -350,6 +361,15 @@
 	return Outcome{Err: r.refusalError(result, answered)}
 }
 
+// condemnedError returns the error of a request that turned out to crash targets while it ran.
+func (r *run) condemnedError(execution fault.Execution) *fault.Error {
+	j := r.engine.judge(r.fingerprint)
+	if j.Verdict == evidence.Quarantined {
+		return quarantineError(j, execution)
+	}
+	return fault.New(fault.TargetFailed, execution, "repeat the request if it may run twice", "a target ended while it had the request")
+}
+
 // interruptedError returns the error of a request that was interrupted because its caller disconnected or the host is
 // stopping.
 func interruptedError(cause error, execution fault.Execution) *fault.Error {
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/budget"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
 	"github.com/knapweedrouter/knapweedrouter/internal/replica"
@@ -26,7 +27,17 @@
 // targetState is this host's state about one target. It is guarded by the engine's mutex.
 type targetState struct {
 	stats       replica.ShortTermStats
+	id          model.TargetID
 	incarnation model.Incarnation
+	address     string
+	// witness relates attempts without an answer to the end of the instance; endVerdict is how that became known. probing
+	// is set while a probe is in progress.
+	witness    evidence.Witness
+	endVerdict LossVerdict
+	probing    bool
+	// nextProbe is the monotime reading from which the instance may be probed again, if it was probed.
+	probed    bool
+	nextProbe time.Duration
 	// coldTokens is the token bucket for requests to the target while it is cold; coldRefilled is the time of its last
 	// refill.
 	coldTokens   float64
@@ -45,7 +56,7 @@
 func (e *Engine) target(t *registry.Target) *targetState {
 	state := e.targets[t.Target]
 	if state == nil || state.incarnation != t.Incarnation {
-		state = &targetState{incarnation: t.Incarnation, coldTokens: 1}
+		state = &targetState{id: t.Target, incarnation: t.Incarnation, address: t.Address, coldTokens: 1}
 		e.targets[t.Target] = state
 	}
 	return state
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -23,7 +23,6 @@
 const (
 	kindGather       peer.Kind = "gather"
 	kindGatherCancel peer.Kind = "gather_cancel"
-	kindCrash        peer.Kind = "crash"
 	// gatherGrace is how long after a query's deadline the aggregator's answer may arrive.
 	gatherGrace = 30 * time.Millisecond
 )
@@ -88,7 +87,6 @@
 	d := &delegator{logger: logger, transport: transport, relays: relays, handler: h, cancels: map[queryKey]context.CancelFunc{}}
 	transport.Handle(kindGather, d.handleGather)
 	transport.Handle(kindGatherCancel, d.handleCancel)
-	transport.Handle(kindCrash, d.handleCrash)
 	return d
 }
 
@@ -188,24 +186,6 @@
 	return nil, nil
 }
 
-// announceCrash sends a crash to the relays.
-func (d *delegator) announceCrash(crash forward.Crash) {
-	for _, address := range d.relays.Addresses() {
-		if err := d.transport.Send(address, kindCrash, crash); err != nil {
-			d.logger.Warn("failed to announce crash", zap.String("relay", address), zap.Error(err))
-		}
-	}
-}
-
-func (d *delegator) handleCrash(_ context.Context, _ peer.Sender, decode func(any) error) (any, error) {
-	var crash forward.Crash
-	if err := decode(&crash); err != nil {
-		return nil, err
-	}
-	d.handler.engine.RecordCrash(crash)
-	return nil, nil
-}
-
 func (d *delegator) handleGather(ctx context.Context, from peer.Sender, decode func(any) error) (any, error) {
 	var message gatherRequest
 	if err := decode(&message); err != nil {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -262,8 +262,11 @@
 // statusOf returns the HTTP status of an error response. On this interface a valid request is never answered with a 4xx
 // status, and 503 guarantees that the request did not run.
 func statusOf(err *fault.Error) int {
-	if err.Kind == fault.Quarantined {
+	switch {
+	case err.Kind == fault.Quarantined && err.Execution == fault.NotRun:
 		return http.StatusServiceUnavailable
+	case err.Kind == fault.Quarantined:
+		return http.StatusBadGateway
 	}
 	return err.HTTPStatus()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
 	"github.com/knapweedrouter/knapweedrouter/internal/follow"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
@@ -75,6 +76,8 @@
 func New(logger *zap.Logger, s Settings, logDropped func() int64, platform func(StoreObserver) Platform) (*Gateway, error) {
 	obs := newObserver(logger)
 	p := platform(obs.recordStoreCall)
+	incarnation := model.Incarnation(time.Now().UnixNano())
+	facts := evidence.NewLog(uint64(incarnation))
 	pool := exchange.NewPool(p.Targets)
 	engine := forward.New(forward.Config{
 		Client:     pool,
@@ -83,9 +86,9 @@
 		ExtraRatio: s.ExtraRatio,
 		ExtraSlack: s.ExtraSlack,
 		ReplyBytes: int64(replyMemoryShare * s.MemoryMB * (1 << 20)),
+		Evidence:   facts,
 		Observer:   obs,
 	})
-	incarnation := model.Incarnation(time.Now().UnixNano())
 	peers, err := peer.New(logger, peer.Config{
 		Listen:         s.PeerListen,
 		Self:           peer.Sender{Host: s.HostID, Incarnation: incarnation},
@@ -104,11 +107,12 @@
 		DataCentre:       s.DataCentre,
 		Large:            s.LinkMbps >= largeLinkMbps,
 		OlderIncarnation: func(known model.Incarnation) { peers.SetIncarnation(known + 1) },
+		Evidence:         facts,
+		Learned:          engine.ReportLearned,
 	})
 	stopper := newStopper(s.StopSeconds)
 	callers := &callerHandler{headers: p.Callers, engine: engine, observer: obs, stopper: stopper, started: time.Now()}
 	callers.delegate = newDelegator(logger, peers, relays, callers)
-	obs.announceCrash = callers.delegate.announceCrash
 	return &Gateway{
 		callers:    callers,
 		logDropped: logDropped,
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
@@ -30,8 +31,6 @@
 	logger     *zap.Logger
 	metrics    *metrics.Set
 	logLimiter *rate.Limiter
-	// announceCrash reports a crash to the relays. It is set before the first request.
-	announceCrash func(forward.Crash)
 
 	mu sync.Mutex
 	// ordinary counts the ordinary requests since the last summary. withheld counts the other requests that were not
@@ -71,23 +70,27 @@
 	}
 }
 
-// TargetCrashed implements forward.Observer.
-func (o *observer) TargetCrashed(crash forward.Crash) {
-	o.metrics.GetOrCreateCounter("knapweedrouter_target_crashes_total").Inc()
-	o.logger.Warn("target crashed by a request", zap.String("target", string(crash.Target)),
-		zap.Uint64("incarnation", uint64(crash.Incarnation)), zap.String("fingerprint", strconv.FormatUint(crash.Fingerprint, 16)))
-	if o.announceCrash != nil {
-		o.announceCrash(crash)
-	}
-}
-
-// LossDecided implements forward.Observer.
+// LossDecided implements forward.Observer. Probes that decide nothing are only counted. The lines of quarantines are not
+// limited, because crashes bound their number.
 func (o *observer) LossDecided(d forward.LossDecision) {
 	o.metrics.GetOrCreateCounter(`knapweedrouter_losses_total{verdict="` + string(d.Verdict) + `"}`).Inc()
-	if o.logLimiter.Allow() {
-		o.logger.Info("lost attempt judged", zap.String("verdict", string(d.Verdict)), zap.String("target", string(d.Target)),
-			zap.Uint64("incarnation", uint64(d.Incarnation)), zap.String("fingerprint", strconv.FormatUint(d.Fingerprint, 16)),
-			zap.Int("crashes", d.Crashes))
+	if d.Fingerprint == 0 {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("verdict", string(d.Verdict)), zap.String("target", string(d.Instance.Target)),
+		zap.Uint64("incarnation", uint64(d.Instance.Incarnation)), zap.String("fingerprint", strconv.FormatUint(d.Fingerprint, 16)),
+		zap.Int("crashes", d.Judgement.Crashes),
+	}
+	if d.Source != "" {
+		fields = append(fields, zap.String("source", string(d.Source)))
+	}
+	switch {
+	case d.Judgement.Verdict == evidence.Quarantined:
+		o.metrics.GetOrCreateCounter("knapweedrouter_quarantines_total").Inc()
+		o.logger.Warn("request quarantined", append(fields, zap.Duration("left", d.Judgement.Left))...)
+	case o.logLimiter.Allow():
+		o.logger.Info("lost attempt judged", fields...)
 	}
 }
 
--- a/internal/logexplain/causes.go
+++ b/internal/logexplain/causes.go
@@ -12,7 +12,7 @@
 	fault.NotFound:             "no route of the configuration in force matched the host name and path",
 	fault.Stopping:             "the host was stopping as planned",
 	fault.Overloaded:           "no target could take the request: see target drained, target removed, target lapsed and data centre out",
-	fault.Quarantined:          "the request had crashed too many targets: see target crashed by a request",
+	fault.Quarantined:          "the request had crashed too many targets: see lost attempt judged and request quarantined",
 	fault.TooLarge:             "the request was larger than the limits of the configuration",
 	fault.BadRequest:           "the request was incomplete",
 	fault.CoverageBelowMinimum: "fewer shards answered than the route requires",
--- a/internal/logexplain/logexplain.go
+++ b/internal/logexplain/logexplain.go
@@ -40,7 +40,9 @@
 	Host    string    `json:"host"`
 	ID      string    `json:"id"`
 	Target  string    `json:"target"`
-	Error   string    `json:"error"`
+	// Fingerprint identifies the content of a request whose attempts got no answer.
+	Fingerprint string `json:"fingerprint"`
+	Error       string `json:"error"`
 
 	Kind          fault.Kind      `json:"kind"`
 	Execution     fault.Execution `json:"execution"`
--- a/internal/logexplain/logexplain_test.go
+++ b/internal/logexplain/logexplain_test.go
@@ -49,6 +49,19 @@
 	require.Equal(t, "first attempt at t1 of s, sent at 1 ms, expected to take 0 ms: no answer for 59 ms", found.Causes[1])
 }
 
+// TestCrashesExplainAQuarantinedRequest guards against an explanation of a quarantine without the crashes, which other hosts
+// found minutes before.
+func TestCrashesExplainAQuarantinedRequest(t *testing.T) {
+	verdict := func(fingerprint string) string {
+		return fmt.Sprintf(`{"ts":"2026-01-01T00:00:01Z","msg":"lost attempt judged","host":"h9","verdict":"target refuses","fingerprint":%q}`, fingerprint)
+	}
+	found, ok := explain(t, "abc", `{"ts":"2026-01-01T00:01:30Z","msg":"request refused","host":"h1","id":"abc","kind":"quarantined",`+
+		`"execution":"not_run","reason":"r","fingerprint":"f1"}`, verdict("f1")+"\n"+verdict("f2"))
+	require.True(t, ok)
+	require.Len(t, found.Evidence, 1)
+	require.Contains(t, string(found.Evidence[0]), "f1")
+}
+
 // TestEvidenceIsBounded guards against unreadably long explanations and requires the lines closest to the request to be
 // kept.
 func TestEvidenceIsBounded(t *testing.T) {
--- a/internal/logexplain/scope.go
+++ b/internal/logexplain/scope.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 )
 
 // stateMessagePrefixes are the prefixes of messages about a host's own state, its store access and other hosts.
@@ -13,13 +15,16 @@
 	"gathering host", "request lines",
 }
 
+// verdictMessages are the messages about requests whose attempts got no answer.
+var verdictMessages = []string{"lost attempt judged", "request quarantined"}
+
 // scope selects the lines that may be related to a request.
 type scope struct {
 	from, to time.Time
 	hosts    map[string]bool
 	targets  map[string]bool
-	// crashes is set if crashes of any target are related to the request.
-	crashes bool
+	// fingerprints holds the contents of requests that were quarantined. Lines about them are evidence whatever their time.
+	fingerprints map[string]bool
 }
 
 func scopeOf(named []Line) scope {
@@ -28,10 +33,14 @@
 		to:      named[len(named)-1].Time.Add(evidenceWindow),
 		hosts:   map[string]bool{},
 		targets: map[string]bool{},
+
+		fingerprints: map[string]bool{},
 	}
 	for _, line := range named {
 		s.hosts[line.Host] = true
-		s.crashes = s.crashes || line.Kind == "quarantined"
+		if line.Kind == fault.Quarantined && line.Fingerprint != "" {
+			s.fingerprints[line.Fingerprint] = true
+		}
 		for _, attempt := range line.Attempts {
 			s.targets[attempt.Target] = true
 		}
@@ -41,10 +50,13 @@
 
 // includes reports whether a line may be evidence for the request.
 func (s *scope) includes(line *Line) bool {
+	if s.fingerprints[line.Fingerprint] && slices.Contains(verdictMessages, line.Message) {
+		return true
+	}
 	if line.Time.Before(s.from) || line.Time.After(s.to) {
 		return false
 	}
-	if s.targets[line.Target] || s.crashes && line.Message == "target crashed by a request" {
+	if s.targets[line.Target] {
 		return true
 	}
 	failedToo := func(a Attempt) bool { return s.targets[a.Target] && (a.Failure != "" || a.EndedMS == nil) }
--- a/internal/relay/deployment_test.go
+++ b/internal/relay/deployment_test.go
@@ -198,6 +198,9 @@
 type network struct {
 	mu    sync.Mutex
 	hosts map[string]*transport
+	// dropped selects the frame kinds that do not arrive; sent counts frames.
+	dropped map[peer.Kind]bool
+	sent    map[peer.Kind]int
 }
 
 type transport struct {
@@ -217,7 +220,8 @@
 func (t *transport) Call(ctx context.Context, address string, kind peer.Kind, body, reply any) error {
 	t.network.mu.Lock()
 	other := t.network.hosts[address]
-	cut := other == nil || other.down || t.down
+	t.network.sent[kind]++
+	cut := other == nil || other.down || t.down || t.network.dropped[kind]
 	t.network.mu.Unlock()
 	if cut {
 		time.Sleep(10 * time.Millisecond)
@@ -306,7 +310,9 @@
 
 // deploy starts hosts in each of two data centres and waits until the relay slots are settled.
 func deploy(t *testing.T, perDataCentre int) *deployment {
-	d := &deployment{t: t, store: newFakeStore(), network: &network{hosts: map[string]*transport{}}}
+	d := &deployment{t: t, store: newFakeStore(), network: &network{
+		hosts: map[string]*transport{}, dropped: map[peer.Kind]bool{}, sent: map[peer.Kind]int{},
+	}}
 	for dc := range 2 {
 		for i := range perDataCentre {
 			d.start(fmt.Sprintf("h%d-%d", dc, i), fmt.Sprint("dc", dc), i < 2)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -83,8 +83,8 @@
 	return l.revision
 }
 
-// awaitReply returns the reply to a pull. If there are no changes yet, it waits for them up to p.Wait.
-func (l *changeLog) awaitReply(ctx context.Context, p pull) pullReply {
+// awaitReply returns the reply to a pull. If there are no changes yet, it waits for them, up to p.Wait or until wake is closed.
+func (l *changeLog) awaitReply(ctx context.Context, p pull, wake <-chan struct{}) pullReply {
 	timer := time.NewTimer(p.Wait)
 	defer timer.Stop()
 	for {
@@ -94,6 +94,8 @@
 		}
 		select {
 		case <-changed:
+		case <-wake:
+			return reply
 		case <-timer.C:
 			return reply
 		case <-ctx.Done():
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
@@ -22,6 +23,7 @@
 	kindPull   peer.Kind = "relay_pull"
 	kindCensus peer.Kind = "relay_census"
 	kindMoved  peer.Kind = "relay_moved"
+	kindNews   peer.Kind = "relay_news"
 )
 
 // pull requests the changes after a revision from a relay.
@@ -34,6 +36,8 @@
 	Number uint64
 	// Large is set if the sending host is large.
 	Large bool
+	// News hands over evidence and asks for what the relay has after a position.
+	News newsRequest
 }
 
 // moved tells a relay that another one has answered the sender's pull with this number, and counts the sender.
@@ -62,6 +66,8 @@
 	// Hosts and Large are the relay's estimate of the number of hosts and of large hosts.
 	Hosts int
 	Large int
+	// News is the relay's evidence that the host may lack.
+	News evidence.Batch
 }
 
 // census tells the other relays how many hosts the sender counts and which revision it has reached.
@@ -71,6 +77,8 @@
 	Hosts    int
 	Large    int
 	Revision store.Revision
+	// Digest identifies the sender's evidence.
+	Digest uint64
 }
 
 // slotRecord is the stored value of a slot.
--- /dev/null
+++ b/internal/relay/news.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
+)
+
+// Evidence spreads as state, in three ways that make up for each other. A host sends what it has seen to all relays at
+// once. Hosts that pull get what is new with the reply, which does not wait then, and hand over what the relay may have
+// missed. Relays compare digests with each census and fetch what they lack, as does every host when it starts.
+
+const (
+	// spreadInterval is the pause after facts were sent, so that facts in quick succession share a frame.
+	spreadInterval = 20 * time.Millisecond
+	// Facts are sent again at spreadRepeats ticks of repeatInterval, because a frame may be lost.
+	repeatInterval = time.Second
+	spreadRepeats  = 2
+	// fetchTimeout bounds a call for the evidence of a relay.
+	fetchTimeout = time.Second
+	// maxFetches bounds the batches fetched in a row.
+	maxFetches = 8
+)
+
+// newsRequest hands over facts and, if sent as a call, asks for the receiver's facts after a position.
+type newsRequest struct {
+	Facts         evidence.Batch
+	Origin, After uint64
+}
+
+// newsLinks tracks which facts were exchanged with each relay. It is safe for concurrent use.
+type newsLinks struct {
+	log *evidence.Log
+
+	mu    sync.Mutex
+	links map[model.HostID]newsLink
+}
+
+// newsLink is the state of the exchange with one relay. origin and received are the position in the relay's log up to which
+// this host has its facts; sent is the position in this host's log up to which the relay has its facts.
+type newsLink struct {
+	origin, received, sent uint64
+}
+
+func newNewsLinks(log *evidence.Log) *newsLinks {
+	return &newsLinks{log: log, links: map[model.HostID]newsLink{}}
+}
+
+// request returns the next request to a relay.
+func (n *newsLinks) request(relay model.HostID) newsRequest {
+	n.mu.Lock()
+	link := n.links[relay]
+	n.mu.Unlock()
+	own, _ := n.log.Changed()
+	facts := evidence.Batch{Position: own}
+	if link.sent < own {
+		facts = n.log.OwnSince(monotime.Now(), link.sent)
+	}
+	return newsRequest{Facts: facts, Origin: link.origin, After: link.received}
+}
+
+// reply records the reply of a relay to a request, and returns the facts that were new.
+func (n *newsLinks) reply(relay model.HostID, request newsRequest, b evidence.Batch) []evidence.Fact {
+	added := n.log.Merge(monotime.Now(), b)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	link := n.links[relay]
+	link.sent = max(link.sent, request.Facts.Position)
+	if b.Origin != 0 && b.Origin != link.origin {
+		// The relay has restarted and has lost what it was sent before.
+		link = newsLink{origin: b.Origin}
+	}
+	link.received = max(link.received, b.Position)
+	n.links[relay] = link
+	return added
+}
+
+// mergeNews adds facts of another host to the evidence.
+func (r *Relay) mergeNews(from model.HostID, b evidence.Batch) {
+	r.reportNews(from, r.cfg.Evidence.Merge(monotime.Now(), b))
+}
+
+func (r *Relay) reportNews(from model.HostID, added []evidence.Fact) {
+	if len(added) > 0 && r.cfg.Learned != nil {
+		r.cfg.Learned(from, added)
+	}
+}
+
+func (r *Relay) handleNews(_ context.Context, from peer.Sender, decode func(any) error) (any, error) {
+	var request newsRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	r.mergeNews(from.Host, request.Facts)
+	return r.cfg.Evidence.Since(monotime.Now(), request.Origin, request.After), nil
+}
+
+// spreadNews sends the facts that this host has seen to all relays, and repeats them, until the context ends.
+func (r *Relay) spreadNews(ctx context.Context) {
+	ticker := time.NewTicker(repeatInterval)
+	defer ticker.Stop()
+	var sent uint64
+	var earlier [spreadRepeats]uint64 // what had been sent at the latest ticks, oldest first
+	for ctx.Err() == nil {
+		position, changed := r.cfg.Evidence.Changed()
+		if position > sent {
+			sent = r.sendFacts(sent)
+			_ = ctxtime.Sleep(ctx, spreadInterval) // the loop ends with the context
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ticker.C:
+			r.sendFacts(earlier[0])
+			copy(earlier[:], earlier[1:])
+			earlier[spreadRepeats-1] = sent
+		case <-ctx.Done():
+		}
+	}
+}
+
+// sendFacts sends the facts after a position that this host has seen to all relays, and returns the position that they reach.
+func (r *Relay) sendFacts(after uint64) uint64 {
+	b := r.cfg.Evidence.OwnSince(monotime.Now(), after)
+	if len(b.Facts) == 0 {
+		return b.Position
+	}
+	for _, relay := range r.directory.relays(time.Now()) {
+		if err := r.cfg.Transport.Send(relay.Address, kindNews, newsRequest{Facts: b}); err != nil {
+			r.logger.Info("failed to send evidence", zap.String("relay", string(relay.Host)), zap.Error(err))
+		}
+	}
+	return b.Position
+}
+
+// fetchFirstNews fetches the evidence of one relay, once the relays are known.
+func (r *Relay) fetchFirstNews(ctx context.Context) {
+	select {
+	case <-r.slot.ready:
+	case <-ctx.Done():
+	}
+	for _, relay := range r.directory.relays(time.Now()) {
+		if r.fetchNews(ctx, relay) == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// fetchNews exchanges evidence with a relay.
+func (r *Relay) fetchNews(ctx context.Context, relay slotRecord) error {
+	bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	for range maxFetches {
+		request := r.news.request(relay.Host)
+		var b evidence.Batch
+		if err := r.cfg.Transport.Call(bounded, relay.Address, kindNews, request, &b); err != nil {
+			r.logger.Info("failed to fetch evidence", zap.String("relay", string(relay.Host)), zap.Error(err))
+			return err
+		}
+		r.reportNews(relay.Host, r.news.reply(relay.Host, request, b))
+		if len(b.Facts) == 0 {
+			return nil
+		}
+	}
+	return nil
+}
+
+// compareNews fetches the evidence of a relay whose digest differs from this host's, unless a fetch is in progress.
+func (r *Relay) compareNews(host model.HostID, digest uint64) {
+	if digest == r.cfg.Evidence.Digest() || !r.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer r.fetching.Store(false)
+		for _, relay := range r.directory.relays(time.Now()) {
+			if relay.Host == host {
+				_ = r.fetchNews(context.Background(), relay) // it is logged; the next census starts another fetch
+				return
+			}
+		}
+	}()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
@@ -45,6 +46,10 @@
 	Large bool
 	// OlderIncarnation is called when another host knows a later incarnation of this host.
 	OlderIncarnation func(known model.Incarnation)
+	// Evidence is exchanged with the other hosts; nil means that this host has none. Learned, if set, is called with facts
+	// of another host that were new.
+	Evidence *evidence.Log
+	Learned  func(from model.HostID, facts []evidence.Fact)
 }
 
 // Relay reads the store's data from relays or from the store itself, and competes for a relay slot. It implements the
@@ -68,10 +73,16 @@
 	// storeFailed is set while this relay's source of changes, the store or the leaders, fails. The relay then serves
 	// no pulls, so that relays which the store refuses do not wait for each other.
 	storeFailed atomic.Bool
+	news        *newsLinks
+	// fetching is set while this host fetches evidence because of a census.
+	fetching atomic.Bool
 }
 
 // New returns a Relay and registers its handlers with the transport. Call Run to start it.
 func New(logger *zap.Logger, cfg Config) *Relay {
+	if cfg.Evidence == nil {
+		cfg.Evidence = evidence.NewLog(rand.Uint64())
+	}
 	self := slotRecord{Host: cfg.Host, Address: cfg.Address, DataCentre: cfg.DataCentre, Large: cfg.Large}
 	r := &Relay{
 		logger:         logger,
@@ -80,12 +91,14 @@
 		log:            newChangeLog(),
 		fallbackJitter: rand.N(storeFallbackDelay),
 		revisionRaised: make(chan struct{}, 1),
+		news:           newNewsLinks(cfg.Evidence),
 	}
 	r.slot = newSlotKeeper(logger, cfg, self, r.directory)
 	r.lastAnswer.Store(int64(monotime.Now()))
 	cfg.Transport.Handle(kindPull, r.handlePull)
 	cfg.Transport.Handle(kindCensus, r.handleCensus)
 	cfg.Transport.Handle(kindMoved, r.handleMoved)
+	cfg.Transport.Handle(kindNews, r.handleNews)
 	return r
 }
 
@@ -133,9 +146,11 @@
 // IsRelay reports whether this host holds a relay slot.
 func (r *Relay) IsRelay() bool { return r.slot.isHeld() }
 
-// Run maintains the slot and sends host counts to the other relays until the context ends.
+// Run maintains the slot, spreads evidence and sends host counts to the other relays until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	go r.slot.run(ctx)
+	go r.fetchFirstNews(ctx)
+	go r.spreadNews(ctx)
 	for ctxtime.Sleep(ctx, censusInterval) == nil {
 		r.sendCensus()
 	}
@@ -149,7 +164,8 @@
 	}
 	now := time.Now()
 	served := r.directory.served(now)
-	message := census{Key: key, Hosts: served.Hosts, Large: served.Large, Revision: r.log.latest()}
+	message := census{Key: key, Hosts: served.Hosts, Large: served.Large, Revision: r.log.latest(),
+		Digest: r.cfg.Evidence.Digest()}
 	for _, other := range r.directory.relays(now) {
 		if err := r.cfg.Transport.Send(other.Address, kindCensus, message); err != nil {
 			r.logger.Debug("failed to send census", zap.String("relay", string(other.Host)), zap.Error(err))
@@ -163,6 +179,7 @@
 		return nil, err
 	}
 	r.directory.recordCensus(from.Host, fleetSize{Hosts: c.Hosts, Large: c.Large}, time.Now())
+	r.compareNews(from.Host, c.Digest)
 	if atomicmax.Raise(&r.newestRevision, uint64(c.Revision)) {
 		select {
 		case r.revisionRaised <- struct{}{}:
@@ -177,16 +194,29 @@
 	if err := decode(&p); err != nil {
 		return nil, err
 	}
+	r.mergeNews(from.Host, p.News.Facts)
 	if !r.IsRelay() || r.storeFailed.Load() {
-		return pullReply{Status: pullUnavailable}, nil
+		return pullReply{Status: pullUnavailable, News: r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After)}, nil
 	}
 	r.directory.recordPull(from.Host, p, time.Now())
-	reply := r.log.awaitReply(ctx, p)
+	reply := r.awaitReply(ctx, p)
 	size := r.directory.size(time.Now())
 	reply.Hosts, reply.Large = size.Hosts, size.Large
 	return reply, nil
 }
 
+// awaitReply returns the reply to a pull. It waits for changes up to p.Wait, but not if there is evidence that the host may
+// lack.
+func (r *Relay) awaitReply(ctx context.Context, p pull) pullReply {
+	_, changed := r.cfg.Evidence.Changed()
+	if news := r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After); len(news.Facts) > 0 {
+		p.Wait = 0
+	}
+	reply := r.log.awaitReply(ctx, p, changed)
+	reply.News = r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After)
+	return reply
+}
+
 func (r *Relay) handleMoved(_ context.Context, from peer.Sender, decode func(any) error) (any, error) {
 	var m moved
 	if err := decode(&m); err != nil {
@@ -351,6 +381,7 @@
 func (r *Relay) pullFrom(ctx context.Context, relay slotRecord, p pull) (pullReply, error) {
 	p.Number = r.lastPull.Add(1)
 	p.Large = r.cfg.Large
+	p.News = r.news.request(relay.Host)
 	bounded, cancel := context.WithTimeout(ctx, p.Wait+replyGrace)
 	defer cancel()
 	var reply pullReply
@@ -359,5 +390,8 @@
 	if errors.As(err, &older) {
 		r.cfg.OlderIncarnation(older.Known)
 	}
+	if err == nil {
+		r.reportNews(relay.Host, r.news.reply(relay.Host, p.News, reply.News))
+	}
 	return reply, err
 }
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -122,7 +122,7 @@
 	}
 	m.unschedule(p)
 	switch {
-	case m.cfg.Suspect || m.targetLost || failure == FailedDeadline || failure == FailedLate:
+	case m.cfg.Suspect && !(m.cfg.RetryNotRun && failure.NotRun()) || m.targetLost || failure == FailedDeadline || failure == FailedLate:
 	case m.cfg.AtMostOnce && !failure.NotRun() || m.reachedAttemptLimit(p):
 	case p.allReplicasFinal(spec.Replicas):
 		m.requestRestart(now)
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -131,6 +131,8 @@
 	// RetryLost allows further attempts after a lost connection. The caller of the machine must then detect requests that
 	// crash targets itself.
 	RetryLost bool
+	// RetryNotRun allows a suspect query further attempts after one that did not run, which cannot have crashed its target.
+	RetryNotRun bool
 }
 
 // Failure classifies the failure of an attempt.
