Refuse requests that a stopping host cannot finish

Here they got 502 while their target was at work, which promises nothing to the caller of a request that must not be repeated.

Change: while a host stops, a request is refused as not run if it may last longer than until the cutoff: 1.5 times the slowest recent one of its route, or all of its time if it must not be repeated. Another host can take it then.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,6 +21,10 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/routing"
 )
 
+// expectedMargin is the factor by which a request may take longer than the slowest recent one of its route. An early refusal
+// costs a caller a round trip, a late one its answer.
+const expectedMargin = 1.5
+
 // defaultReplyBytes is Config.ReplyBytes if it is not set.
 const defaultReplyBytes = 64 << 20
 
@@ -176,6 +180,20 @@
 	}
 }
 
+// ExpectedTime returns the time within which requests of the route are almost always answered.
+func (e *Engine) ExpectedTime(route *routing.Route) time.Duration {
+	expected := route.Objective
+	if expected <= 0 {
+		expected = defaultObjective
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if latencies := e.routes[route.Name]; latencies != nil {
+		expected = max(expected, latencies.Max(e.now()))
+	}
+	return time.Duration(expectedMargin * float64(expected))
+}
+
 // Wait waits until all attempts and probes have ended. No request may be started in the meantime.
 func (e *Engine) Wait() { e.tasks.Wait() }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -94,6 +94,10 @@
 		Arrived:    arrived,
 		Deadline:   arrived.Add(h.timeout(r.Header, route) - replyMargin),
 	}
+	if err := h.stopper.refusalOf(h.timeNeeded(&request)); err != nil {
+		h.refuse(w, r, err)
+		return
+	}
 	ctx, cancel := h.callerContext(r, route)
 	defer cancel()
 	if h.delegate.handOver(ctx, w, &request) {
@@ -102,6 +106,16 @@
 	h.execute(ctx, w, &request)
 }
 
+// timeNeeded returns the time that the request may take. A request that must not be repeated may take all of its time, because
+// its caller cannot ask again if it is broken off.
+func (h *callerHandler) timeNeeded(request *forward.Request) time.Duration {
+	left := time.Until(request.Deadline)
+	if !request.Route.Repeatable {
+		return left
+	}
+	return min(left, h.engine.ExpectedTime(request.Route))
+}
+
 // execute executes the request on this host and writes the answer.
 func (h *callerHandler) execute(ctx context.Context, w http.ResponseWriter, request *forward.Request) {
 	outcome := h.engine.Do(ctx, *request)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -35,6 +35,8 @@
 	gracePeriod atomic.Int64
 	stopping    atomic.Bool
 	refusing    atomic.Bool
+	// cutoffAt is the monotime reading at which requests in progress get their final answer; set once stopping is.
+	cutoffAt    atomic.Int64
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64 // a monotime reading
 	done        chan struct{}
@@ -71,6 +73,15 @@
 	return nil
 }
 
+// refusalOf returns the error for a request that may take the given time, or nil if it can be answered before the cutoff.
+// Another host can still take a request that is refused, but not one that is broken off while a target works on it.
+func (s *stopper) refusalOf(needed time.Duration) *fault.Error {
+	if s.isStopping() && monotime.Now()+needed > time.Duration(s.cutoffAt.Load()) {
+		return errStopping
+	}
+	return nil
+}
+
 // track counts requests in progress. During a stop each response closes its connection, so that no caller sends a
 // request on a connection that is about to be closed.
 func (s *stopper) track(next http.Handler) http.Handler {
@@ -88,6 +99,7 @@
 	defer close(s.done)
 	started := time.Now()
 	s.lastRequest.Store(int64(monotime.Now()))
+	s.cutoffAt.Store(int64(monotime.Now()) + s.gracePeriod.Load() - int64(stopMargin+cutoffMargin))
 	s.stopping.Store(true)
 	logger.Info("planned stop: not ready", zap.Int64("in_progress", s.inFlight.Load()))
 	go leave(ctx)
--- a/internal/replica/latency_histogram.go
+++ b/internal/replica/latency_histogram.go
@@ -79,6 +79,18 @@
 	return h.p95
 }
 
+// Max returns the highest recent latency, 0 if there are no recent samples.
+func (h *LatencyHistogram) Max(now time.Duration) time.Duration {
+	h.rotate(now)
+	highest := int64(0)
+	for _, window := range []*hdrhistogram.Histogram{h.current, h.previous} {
+		if window != nil {
+			highest = max(highest, window.Max())
+		}
+	}
+	return time.Duration(highest) * histogramUnit
+}
+
 // rotate starts a new window if the current one has ended.
 func (h *LatencyHistogram) rotate(now time.Duration) {
 	age := now - h.rotated
