Let a planned stop wait for handed-over queries

Callers of a small host saw 502 for a query that a large host was working on when it was stopped in calm, among them requests that must not be repeated.

Cause: a stopping host counted the requests of its own callers only. With none of those it exited 2.5 s after the signal, whatever it was executing for other hosts, and its cutoff did not reach them.

Change: one count of requests in progress and one cutoff for both. The host counts as idle 0.6 s after such a query at the earliest, so that the reply is written before the exit.

--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -16,6 +16,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/relay"
 )
@@ -191,11 +192,18 @@
 	if err := decode(&message); err != nil {
 		return nil, err
 	}
+	stopper := d.handler.stopper
+	leave := stopper.enter()
+	defer func() {
+		// The reply is still to be written: the host counts as idle only a while after it.
+		stopper.lastRequest.Store(int64(monotime.Now()))
+		leave()
+	}()
 	request, reason := d.handler.restoreRequest(&message)
 	if request == nil {
 		return gatherReply{Declined: true, Reason: reason, Stopping: d.handler.stopper.isStopping()}, nil
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := stopper.withCutoff(ctx)
 	defer cancel()
 	key := queryKey{from.Host, message.Number}
 	d.mu.Lock()
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -160,12 +160,7 @@
 	if !route.Repeatable {
 		parent = context.WithoutCancel(parent)
 	}
-	ctx, cancel := context.WithCancelCause(parent)
-	stop := context.AfterFunc(h.stopper.cutoff, func() { cancel(errStopping) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
+	return h.stopper.withCutoff(parent)
 }
 
 // timeout returns the time within which the caller must get its final answer.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -82,13 +82,28 @@
 	return nil
 }
 
+// enter counts a request in progress until the returned function is called.
+func (s *stopper) enter() (leave func()) {
+	s.inFlight.Add(1)
+	s.lastRequest.Store(int64(monotime.Now()))
+	return func() { s.inFlight.Add(-1) }
+}
+
+// withCutoff returns a context that also ends, with the cause errStopping, when requests in progress must be answered.
+func (s *stopper) withCutoff(parent context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(s.cutoff, func() { cancel(errStopping) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // track counts requests in progress. During a stop each response closes its connection, so that no caller sends a
 // request on a connection that is about to be closed.
 func (s *stopper) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.inFlight.Add(1)
-		defer s.inFlight.Add(-1)
-		s.lastRequest.Store(int64(monotime.Now()))
+		defer s.enter()()
 		next.ServeHTTP(lastanswer.NewWriter(w, s.isStopping), r)
 	})
 }
