Obey what targets say of themselves: leaving, and wanting nothing

A leaving instance is out from its answer on, as a fact that all hosts hold and that travels with the answer to a handed-over query; no later entry of the same incarnation undoes it. Requests for which too few parts are left are refused at once, with the earliest time; a shard without another target is left out at once.

--- a/internal/evidence/fact.go
+++ b/internal/evidence/fact.go
@@ -1,5 +1,5 @@
-// Package evidence keeps what the hosts of a fleet have seen of targets that ended and of the requests that were there. It
-// decides from that which requests crash the targets that run them. It performs no I/O and reads no clock: callers pass
+// Package evidence keeps what the hosts of a fleet have seen of targets that ended or leave, and of the requests that were
+// there. It decides from that which requests crash the targets that run them. It performs no I/O and reads no clock: callers pass
 // in readings of the monotonic clock.
 //
 // The load that it answers: a caller sends a request that ends every target that runs it, again and again, to one host
@@ -25,6 +25,10 @@
 	// Answered means that a target answered the request. A request that crashes targets is never answered, so the fact
 	// refutes all earlier crashes.
 	Answered
+	// Leaving means that an instance has said that it is shutting down. An instance never stops leaving.
+	Leaving
+
+	kinds // one more than the last kind
 )
 
 // Instance identifies one run of a target's process.
@@ -36,9 +40,9 @@
 // Fact is something that a host has seen.
 type Fact struct {
 	Kind Kind
-	// Fingerprint identifies the content of the request.
+	// Fingerprint identifies the content of the request; it is 0 for Leaving.
 	Fingerprint uint64
-	// Instance is the instance that crashed; it is zero for Answered.
+	// Instance is the instance that crashed or leaves; it is zero for Answered.
 	Instance Instance
 	// Age is the time since the event. A receiver counts it from the moment of receipt.
 	Age time.Duration
--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -8,15 +8,25 @@
 )
 
 const (
-	// maxFacts bounds a log: about 100 KiB in memory and in a batch. The fact of the oldest event is evicted first.
+	// maxFacts bounds the facts of each kind: about 100 KiB. The fact of the oldest event is evicted first.
 	maxFacts = 1024
 	// maxBatch bounds the facts of one batch. The receiver asks for the rest with its next position.
 	maxBatch = 256
 	// factLifetime is how long a fact is kept after the event. It exceeds the longest quarantine, so that the request is
 	// still a suspect when that ends.
 	factLifetime = 30 * time.Minute
+	// leavingLifetime is how long a leaving instance is remembered. It exceeds the time that an instance takes to leave by far;
+	// one that still registers after it is used again until its next answer.
+	leavingLifetime = 24 * time.Hour
 )
 
+func lifetime(k Kind) time.Duration {
+	if k == Leaving {
+		return leavingLifetime
+	}
+	return factLifetime
+}
+
 // Log holds the facts known to a host. It is safe for concurrent use.
 type Log struct {
 	origin uint64
@@ -25,6 +35,7 @@
 	position uint64
 	digest   uint64 // the exclusive or of the hashes of all facts
 	records  map[factKey]*record
+	counts   [kinds]int
 	requests map[uint64]*history // by fingerprint
 	// witnesses holds the requests that were at each crashed instance.
 	witnesses map[Instance]map[uint64]bool
@@ -82,9 +93,9 @@
 	h := l.requests[f.Fingerprint]
 	known := l.records[f.key()]
 	switch {
-	case f.Age > factLifetime || f.Kind != Crashed && f.Kind != Answered:
+	case f.Kind < Crashed || f.Kind >= kinds || f.Age > lifetime(f.Kind):
 		return false
-	case known != nil && (f.Kind == Crashed || at <= known.at):
+	case known != nil && (f.Kind != Answered || at <= known.at):
 		return false
 	case f.Kind == Crashed && h != nil && h.answered != nil && at <= h.answered.at:
 		return false
@@ -93,28 +104,38 @@
 		l.remove(known)
 	}
 	l.expire(now)
-	if len(l.records) >= maxFacts {
-		l.evictOldest()
-	}
-	if h = l.requests[f.Fingerprint]; h == nil {
-		h = &history{crashes: map[Instance]*record{}}
-		l.requests[f.Fingerprint] = h
+	if !l.makeRoom(f.Kind, at) {
+		return false
 	}
 	l.position++
 	r := &record{fact: f, at: at, position: l.position, own: own}
 	l.records[f.key()] = r
+	l.counts[f.Kind]++
 	l.digest ^= f.hash()
+	if f.Kind != Leaving {
+		l.addToHistory(r)
+	}
+	return true
+}
+
+// addToHistory adds a fact about a request to the history of that request.
+func (l *Log) addToHistory(r *record) {
+	f := &r.fact
+	h := l.requests[f.Fingerprint]
+	if h == nil {
+		h = &history{crashes: map[Instance]*record{}}
+		l.requests[f.Fingerprint] = h
+	}
 	if f.Kind == Answered {
 		h.answered = r
-		l.refute(h, at)
-		return true
+		l.refute(h, r.at)
+		return
 	}
 	h.crashes[f.Instance] = r
 	if l.witnesses[f.Instance] == nil {
 		l.witnesses[f.Instance] = map[uint64]bool{}
 	}
 	l.witnesses[f.Instance][f.Fingerprint] = true
-	return true
 }
 
 // refute removes the crashes that are not later than an answer.
@@ -129,7 +150,11 @@
 func (l *Log) remove(r *record) {
 	f := &r.fact
 	delete(l.records, f.key())
+	l.counts[f.Kind]--
 	l.digest ^= f.hash()
+	if f.Kind == Leaving {
+		return
+	}
 	h := l.requests[f.Fingerprint]
 	if f.Kind == Answered {
 		h.answered = nil
@@ -147,20 +172,29 @@
 
 func (l *Log) expire(now time.Duration) {
 	for _, r := range l.records {
-		if now-r.at > factLifetime {
+		if now-r.at > lifetime(r.fact.Kind) {
 			l.remove(r)
 		}
 	}
 }
 
-func (l *Log) evictOldest() {
+// makeRoom evicts the fact of the oldest event of a kind if there are too many. It returns false if that would be the one to
+// be added: hosts would otherwise pass facts that they evict to each other without end.
+func (l *Log) makeRoom(k Kind, at time.Duration) bool {
+	if l.counts[k] < maxFacts {
+		return true
+	}
 	var oldest *record
 	for _, r := range l.records {
-		if oldest == nil || r.at < oldest.at {
+		if r.fact.Kind == k && (oldest == nil || r.at < oldest.at) {
 			oldest = r
 		}
 	}
+	if at < oldest.at {
+		return false
+	}
 	l.remove(oldest)
+	return true
 }
 
 // notify wakes those who wait for Changed. The caller holds l.mu.
@@ -176,6 +210,13 @@
 	return l.position, l.changed
 }
 
+// IsLeaving reports whether an instance has said that it is shutting down.
+func (l *Log) IsLeaving(i Instance) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records[factKey{kind: Leaving, instance: i}] != nil
+}
+
 // Digest returns a hash of the known facts, which is equal for logs with the same facts.
 func (l *Log) Digest() uint64 {
 	l.mu.Lock()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -61,6 +61,10 @@
 	WrongTarget bool
 	// Load is nil if the target does not report its load.
 	Load *Load
+	// Leaving means that the target is shutting down and must get no new requests.
+	Leaving bool
+	// RetryAfter is how long a target that has turned the request away wants nothing from this host; 0 if it does not say.
+	RetryAfter time.Duration
 }
 
 // HeaderCodec translates between the router's model and the headers used by targets.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -47,6 +47,10 @@
 	LossLearned LossVerdict = "learned"
 	// LossRefuted means that a target has answered the request, which therefore did not crash the others.
 	LossRefuted LossVerdict = "refuted by an answer"
+	// TargetLeaving means that the instance has said that it is shutting down.
+	TargetLeaving LossVerdict = "leaving"
+	// TargetQuiet means that the instance has turned a request away and wants nothing from this host for a time.
+	TargetQuiet LossVerdict = "quiet"
 )
 
 // LossDecision is a verdict with its inputs and the judgement on the request that follows.
@@ -58,6 +62,8 @@
 	Judgement   evidence.Judgement
 	// Source is the host that found it; empty for this one.
 	Source model.HostID
+	// For is the length of the time after TargetQuiet.
+	For time.Duration
 }
 
 // endings maps verdicts to the certainty of the end.
@@ -209,14 +215,20 @@
 // ReportLearned reports facts that another host has found.
 func (e *Engine) ReportLearned(from model.HostID, facts []evidence.Fact) {
 	decisions := make([]LossDecision, len(facts))
+	e.mu.Lock()
 	for i, f := range facts {
 		decisions[i] = LossDecision{
 			Fingerprint: f.Fingerprint, Instance: f.Instance, Verdict: LossLearned, Judgement: e.judge(f.Fingerprint), Source: from,
 		}
-		if f.Kind == evidence.Answered {
+		switch f.Kind {
+		case evidence.Answered:
 			decisions[i].Verdict = LossRefuted
+		case evidence.Leaving:
+			decisions[i].Verdict = TargetLeaving
+			e.markLeaving(f.Instance)
 		}
 	}
+	e.mu.Unlock()
 	e.reportLosses(decisions)
 }
 
@@ -226,7 +238,14 @@
 		return
 	}
 	for _, d := range decisions {
-		e.cfg.Observer.LossDecided(d)
+		switch d.Verdict {
+		case TargetLeaving:
+			e.cfg.Observer.TargetLeaves(d.Instance, d.Source)
+		case TargetQuiet:
+			e.cfg.Observer.TargetWantsNothing(d.Instance, d.For)
+		default:
+			e.cfg.Observer.LossDecided(d)
+		}
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -51,6 +51,10 @@
 	RequestEnded(Trace)
 	// LossDecided is called for each verdict on an attempt that got no answer.
 	LossDecided(LossDecision)
+	// TargetLeaves is called when this host, or the given other one, has found that an instance leaves.
+	TargetLeaves(evidence.Instance, model.HostID)
+	// TargetWantsNothing is called when an instance has turned a request away and wants nothing from this host for a time.
+	TargetWantsNothing(evidence.Instance, time.Duration)
 }
 
 // Request is a request of a caller together with its route.
@@ -73,6 +77,8 @@
 	Failure *exchange.Reply
 	// Err is nil if the request was answered. Its Execution tells whether the request may have run.
 	Err *fault.Error
+	// Leaving holds the instances that said in their replies that they are shutting down.
+	Leaving []evidence.Instance
 	// memory is charged for the replies.
 	memory *httpreply.Account
 }
@@ -98,6 +104,8 @@
 	splitter *routing.Splitter
 	// doubtful holds the requests with attempts that got no answer, by fingerprint, until one is answered.
 	doubtful map[uint64]*evidence.Request
+	// unwilling holds the targets that leave or want nothing for now.
+	unwilling map[model.TargetID]*targetState
 	// probes counts the probes in progress.
 	probes int
 }
@@ -119,7 +127,9 @@
 		routes:   map[string]*replica.LatencyHistogram{},
 		splitter: routing.NewSplitter(),
 		doubtful: map[uint64]*evidence.Request{},
-		changed:  make(chan struct{}),
+
+		unwilling: map[model.TargetID]*targetState{},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -148,9 +158,13 @@
 	e.changed = make(chan struct{})
 	e.splitter.Retain(rs.Table)
 	for id, t := range e.targets {
-		if _, ok := rs.registered[id]; !ok && t.stats.InFlight() == 0 {
+		registered, ok := rs.registered[id]
+		if !ok && t.stats.InFlight() == 0 && e.now() >= t.quietUntil {
 			delete(e.targets, id)
 		}
+		if !ok || registered.Draining {
+			delete(e.unwilling, id) // the routing state excludes it
+		}
 	}
 	for id := range e.services {
 		if !rs.Table.HasService(id) {
@@ -201,7 +215,11 @@
 // because the caller disconnected, ends the request early. The caller must Release the outcome.
 func (e *Engine) Do(ctx context.Context, request Request) Outcome {
 	r := e.newRun(request)
-	if err := r.checkQuarantine(); err != nil {
+	err := r.checkQuarantine()
+	if err == nil {
+		err = r.checkWilling()
+	}
+	if err != nil {
 		outcome := Outcome{Err: err, memory: r.memory}
 		r.finish()
 		r.report(outcome)
@@ -210,6 +228,9 @@
 	r.drive(ctx)
 	outcome := r.outcome(ctx)
 	outcome.memory = r.memory
+	e.mu.Lock()
+	outcome.Leaving = r.leaving
+	e.mu.Unlock()
 	r.report(outcome)
 	return outcome
 }
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -55,6 +55,9 @@
 		return "", scatter.NoTarget
 	}
 	rs := e.routingState.Load()
+	if from := e.willingFrom(now, rs.Eligible(model.ServiceID(part.ID))); from > max(now, p.run.latestAttempt()) {
+		return "", scatter.NoTargetInTime
+	}
 	service := e.service(model.ServiceID(part.ID), rs.Fleet.Part)
 	extra := p.isExtra(part.ID, kind)
 	if extra && service.extra.Tokens() < 1 {
@@ -131,7 +134,7 @@
 		}
 		t := rs.registered[id]
 		state := e.target(&t)
-		if limit > 0 && state.stats.InFlight() >= limit {
+		if !state.isWilling(now) || limit > 0 && state.stats.InFlight() >= limit {
 			continue
 		}
 		cost := state.stats.Cost(now, median, t.Slots)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -86,6 +86,10 @@
 	// engine's mutex.
 	fingerprint uint64
 	evidence    *evidence.Request
+	// leaving holds the instances that said that they leave. It is guarded by the engine's mutex.
+	leaving []evidence.Instance
+	// parts are the parts of the request.
+	parts []snapshot.Part
 	// condemned means that the request turned out to crash targets while it ran. unanswered means that an attempt reached a
 	// target and got no answer; it is guarded by the engine's mutex.
 	condemned, unanswered bool
@@ -126,6 +130,7 @@
 
 		fingerprint: content,
 		evidence:    known,
+		parts:       chosen.Parts,
 	}
 	r.attemptContext, r.cancel = context.WithCancel(context.Background())
 	r.trace = newTrace(request, rs)
@@ -189,7 +194,7 @@
 	defer close(r.finished)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	firstSendDeadline := r.arrived + time.Duration(firstSendShare*float64(r.objective()))
+	firstSendDeadline := r.latestSend()
 	r.sendAttempts(r.machine.Tick(r.engine.now()))
 	for !r.machine.Done() {
 		if r.condemned {
@@ -303,10 +308,29 @@
 		if errors.Is(err, targetclient.ErrNoReply) {
 			stats.RecordFailure(now, started)
 		}
+	case reply != nil && reply.RetryAfter > 0:
+		stats.Remove(started) // a target that says when to come back has not failed
 	default:
 		stats.RecordFailure(now, started)
 	}
-	return r.recordEnding(&p, reply, err)
+	decisions := r.recordEnding(&p, reply, err)
+	if reply != nil && !errors.Is(err, targetclient.ErrDraining) && !errors.Is(err, targetclient.ErrMismatch) {
+		decisions = append(decisions, r.recordWishes(&p, reply)...)
+	}
+	return decisions
+}
+
+// required returns the minimum number of parts in an answer.
+func (r *run) required() int {
+	if shards := len(r.request.Route.Shards); shards > 0 {
+		return minShards(r.request.Route.MinCoverage, shards)
+	}
+	return 1
+}
+
+// defaultRetryAfter is the delay that a refused caller is asked to wait if no better time is known.
+func (r *run) defaultRetryAfter() time.Duration {
+	return max(minRetryAfter, time.Duration(retryAfterShare*float64(r.objective())))
 }
 
 func (e *Engine) routeLatencies(name string) *replica.LatencyHistogram {
@@ -344,16 +368,12 @@
 			answered++
 		}
 	}
-	required := 1
-	if shards := len(r.request.Route.Shards); shards > 0 {
-		required = minShards(r.request.Route.MinCoverage, shards)
-	}
 	switch {
 	case r.interrupted:
 		return Outcome{Err: interruptedError(context.Cause(ctx), result.Execution)}
 	case r.condemned:
 		return Outcome{Err: r.condemnedError(result.Execution)}
-	case answered >= required:
+	case answered >= r.required():
 		return Outcome{Replies: replies}
 	case len(r.request.Route.Shards) == 0 && r.failure != nil:
 		return Outcome{Failure: r.failure}
@@ -381,7 +401,10 @@
 
 // refusalError returns the error of a request that too few targets answered.
 func (r *run) refusalError(result scatter.Result, answered int) *fault.Error {
-	after := max(minRetryAfter, time.Duration(retryAfterShare*float64(r.objective())))
+	after := r.defaultRetryAfter()
+	if err := r.checkWilling(); err != nil {
+		after = err.RetryAfter()
+	}
 	switch {
 	case r.neverSent || len(r.picked) == 0:
 		return fault.New(fault.Overloaded, fault.NotRun, "repeat the request", "no target could take the request").WithRetryAfter(after)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -38,6 +38,10 @@
 	// nextProbe is the monotime reading from which the instance may be probed again, if it was probed.
 	probed    bool
 	nextProbe time.Duration
+	// leaving means that the instance has said that it is shutting down; quietUntil is the time until which it wants nothing
+	// from this host.
+	leaving    bool
+	quietUntil time.Duration
 	// coldTokens is the token bucket for requests to the target while it is cold; coldRefilled is the time of its last
 	// refill.
 	coldTokens   float64
@@ -57,7 +61,12 @@
 	state := e.targets[t.Target]
 	if state == nil || state.incarnation != t.Incarnation {
 		state = &targetState{id: t.Target, incarnation: t.Incarnation, address: t.Address, coldTokens: 1}
+		state.leaving = e.cfg.Evidence.IsLeaving(evidence.Instance{Target: t.Target, Incarnation: t.Incarnation})
 		e.targets[t.Target] = state
+		delete(e.unwilling, t.Target)
+		if state.leaving {
+			e.unwilling[t.Target] = state
+		}
 	}
 	return state
 }
--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
@@ -59,6 +60,8 @@
 	Header     map[string][]string
 	Body       []byte
 	Generation model.Generation
+	// Leaving holds the instances that said that they leave: the sender passes their answer on and must know, too.
+	Leaving []evidence.Instance
 }
 
 // gatherCancel reports that the caller of a query has disconnected.
@@ -113,6 +116,7 @@
 			continue
 		}
 		d.recordGeneration(reply.Generation)
+		d.handler.engine.LearnLeaving(aggregator.Host, reply.Leaving)
 		d.handler.observer.countDelegated(reply.Status)
 		for name, values := range reply.Header {
 			w.Header()[name] = values
@@ -215,8 +219,10 @@
 		d.mu.Unlock()
 	}()
 	answer := &responseRecorder{header: http.Header{}}
-	d.handler.execute(ctx, answer, request)
-	return gatherReply{Status: answer.status, Header: answer.header, Body: answer.body.Bytes(), Generation: request.Generation}, nil
+	leaving := d.handler.execute(ctx, answer, request)
+	return gatherReply{
+		Status: answer.status, Header: answer.header, Body: answer.body.Bytes(), Generation: request.Generation, Leaving: leaving,
+	}, nil
 }
 
 // responseRecorder is an http.ResponseWriter that buffers the response.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
@@ -116,11 +117,12 @@
 	return min(left, h.engine.ExpectedTime(request.Route))
 }
 
-// execute executes the request on this host and writes the answer.
-func (h *callerHandler) execute(ctx context.Context, w http.ResponseWriter, request *forward.Request) {
+// execute executes the request on this host and writes the answer. It returns the instances that said that they leave.
+func (h *callerHandler) execute(ctx context.Context, w http.ResponseWriter, request *forward.Request) []evidence.Instance {
 	outcome := h.engine.Do(ctx, *request)
 	defer outcome.Release()
 	h.writeOutcome(w, request, outcome)
+	return outcome.Leaving
 }
 
 // restoreRequest rebuilds a request delegated by another host, or returns the reason why this host declines it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,8 @@
 	stopper := newStopper(s.StopSeconds)
 	callers := &callerHandler{headers: p.Callers, engine: engine, observer: obs, stopper: stopper, started: time.Now()}
 	callers.delegate = newDelegator(logger, peers, relays, callers)
+	beliefs := newState(logger, p.Decoder, engine, relays.Fleet, facts.IsLeaving)
+	obs.markLeaving = beliefs.markLeaving
 	return &Gateway{
 		callers:    callers,
 		logDropped: logDropped,
@@ -121,7 +123,7 @@
 		platform:   p,
 		pool:       pool,
 		engine:     engine,
-		state:      newState(logger, p.Decoder, engine, relays.Fleet),
+		state:      beliefs,
 		observer:   obs,
 		stopper:    stopper,
 		peers:      peers,
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -13,6 +13,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 )
 
@@ -31,6 +32,8 @@
 	logger     *zap.Logger
 	metrics    *metrics.Set
 	logLimiter *rate.Limiter
+	// markLeaving takes a target out of the routing state. It is set before the first request.
+	markLeaving func(evidence.Instance)
 
 	mu sync.Mutex
 	// ordinary counts the ordinary requests since the last summary. withheld counts the other requests that were not
@@ -94,6 +97,25 @@
 	}
 }
 
+// TargetLeaves implements forward.Observer.
+func (o *observer) TargetLeaves(i evidence.Instance, source model.HostID) {
+	o.metrics.GetOrCreateCounter("knapweedrouter_targets_leaving_total").Inc()
+	o.logger.Info("target leaving by its own word", zap.String("target", string(i.Target)),
+		zap.Uint64("incarnation", uint64(i.Incarnation)), zap.String("source", string(source)))
+	if o.markLeaving != nil {
+		o.markLeaving(i)
+	}
+}
+
+// TargetWantsNothing implements forward.Observer.
+func (o *observer) TargetWantsNothing(i evidence.Instance, length time.Duration) {
+	o.metrics.GetOrCreateCounter("knapweedrouter_targets_quiet_total").Inc()
+	if o.logLimiter.Allow() {
+		o.logger.Info("target wants nothing", zap.String("target", string(i.Target)), zap.Uint64("incarnation", uint64(i.Incarnation)),
+			zap.Duration("for", length))
+	}
+}
+
 // recordAndSample adds the request to the route summary and reports whether to log it: every request that is not
 // ordinary, within the rate limit, and a sample of the others.
 func (o *observer) recordAndSample(t *forward.Trace) bool {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
@@ -59,13 +60,15 @@
 	// fleet returns the hosts that share budgets; currentFleet is the value the engine uses.
 	fleet        func() relay.Fleet
 	currentFleet relay.Fleet
+	// leaving reports whether an instance has said that it is shutting down.
+	leaving func(evidence.Instance) bool
 	// storeAway is set while neither the store nor a relay answers.
 	storeAway bool
 	// lastConfirmed is the monotime reading of the last answer of the store or a relay.
 	lastConfirmed time.Duration
 }
 
-func newState(logger *zap.Logger, decoder Decoder, engine *forward.Engine, fleet func() relay.Fleet) *state {
+func newState(logger *zap.Logger, decoder Decoder, engine *forward.Engine, fleet func() relay.Fleet, leaving func(evidence.Instance) bool) *state {
 	return &state{
 		logger:   logger,
 		decoder:  decoder,
@@ -73,6 +76,7 @@
 		registry: registry.New(),
 		out:      map[model.DataCentreID]bool{},
 		fleet:    fleet,
+		leaving:  leaving,
 	}
 }
 
@@ -174,6 +178,8 @@
 		s.deleteTarget(id, entry.Revision)
 		return
 	}
+	// A report may be older than an answer of the same instance, and may have been read from a source that is behind.
+	report.Draining = report.Draining || s.leaving(evidence.Instance{Target: id, Incarnation: report.Incarnation})
 	decision := s.registry.Put(monotime.Now(), report)
 	if decision != registry.Updated {
 		s.logger.Info("target "+string(decision), zap.String("target", string(id)), zap.String("service", string(report.Service)),
@@ -182,6 +188,15 @@
 	}
 }
 
+// markLeaving records that an instance has said that it is shutting down.
+func (s *state) markLeaving(i evidence.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.registry.Leaving(i.Target, i.Incarnation) == registry.Drained {
+		s.publish()
+	}
+}
+
 func (s *state) deleteTarget(id model.TargetID, at store.Revision) {
 	if decision := s.registry.Delete(monotime.Now(), id); decision != registry.Unknown {
 		s.logger.Info("target "+string(decision), zap.String("target", string(id)), zap.Uint64("revision", uint64(at)),
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
@@ -33,7 +34,8 @@
 
 // TestUnexpectedEntryIsIgnored guards against one entry of the store that takes every process down at each start.
 func TestUnexpectedEntryIsIgnored(t *testing.T) {
-	s := newState(zap.NewNop(), panickingDecoder{}, forward.New(forward.Config{}), func() relay.Fleet { return relay.Fleet{} })
+	s := newState(zap.NewNop(), panickingDecoder{}, forward.New(forward.Config{}), func() relay.Fleet { return relay.Fleet{} },
+		func(evidence.Instance) bool { return false })
 	s.Reset([]store.Entry{{Key: "a"}, {Key: "b", Value: []byte("panic")}, {Key: "c"}})
 	require.Len(t, s.registry.Targets(), 2)
 	s.Apply([]store.Change{{Entry: store.Entry{Key: "d", Value: []byte("panic")}}, {Entry: store.Entry{Key: "e"}}})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -121,6 +121,19 @@
 	return decision
 }
 
+// Leaving records that an instance has said itself that it is shutting down.
+func (r *Registry) Leaving(id model.TargetID, incarnation model.Incarnation) Decision {
+	present := r.targets[id]
+	switch {
+	case present == nil || present.Incarnation != incarnation:
+		return Unknown
+	case present.Draining:
+		return Updated
+	}
+	present.Draining = true
+	return Drained
+}
+
 // isNewer reports whether a report is newer than the one with the given incarnation and sequence.
 func isNewer(report Registration, incarnation model.Incarnation, sequence uint64) bool {
 	if report.Incarnation != incarnation {
--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -103,6 +103,11 @@
 		m.schedule(p, now+m.picker.HedgeDelay(spec), LateHedge)
 		return
 	}
+	if result == NoTargetInTime {
+		m.round.setUnreachable(p, true)
+		m.unschedule(p)
+		return
+	}
 	if result == NoTarget {
 		p.clearTransientFailures()
 	}
--- a/internal/scatter/round.go
+++ b/internal/scatter/round.go
@@ -42,7 +42,8 @@
 	nextKind Kind
 	retries  int
 	active   bool
-	// unreachable is set once every replica has refused a connection, until an attempt fails in another way.
+	// unreachable is set once every replica has refused a connection, until an attempt fails in another way, or if no replica
+	// takes an attempt in time.
 	unreachable bool
 }
 
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -88,6 +88,8 @@
 	NoTarget
 	// NoBudget means that the budget for extra attempts is exhausted.
 	NoBudget
+	// NoTargetInTime means that no replica will take an attempt early enough for the answer.
+	NoTargetInTime
 )
 
 // Picker makes the decisions that depend on state shared between queries.
