--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -29,45 +29,8 @@
 	maxDoubtful = 4096
 )
 
-// LossVerdict is what a host concludes about an attempt that got no answer.
-type LossVerdict string
-
-const (
-	// LossTargetAccepts, the result of a probe, means that the target's address accepts connections, which proves neither its life nor its end.
-	LossTargetAccepts LossVerdict = "address accepts"
-	// LossTargetSilent, the result of a probe, means that the target's address did not answer a probe.
-	LossTargetSilent LossVerdict = "address silent"
-	// LossTargetRefuses means that the target's address refuses connections: the target has ended.
-	LossTargetRefuses LossVerdict = "target refuses"
-	// LossTargetReplaced means that another instance has the target's ID or its address.
-	LossTargetReplaced LossVerdict = "target replaced"
-	// LossTargetDeregistered means that the target's registration ended within seconds of the loss.
-	LossTargetDeregistered LossVerdict = "target deregistered"
-	// LossLearned means that another host has found that the target ended.
-	LossLearned LossVerdict = "learned"
-	// LossRefuted means that a target has answered the request, which therefore did not crash the others.
-	LossRefuted LossVerdict = "refuted by an answer"
-	// TargetLeaving means that the instance has said that it is shutting down.
-	TargetLeaving LossVerdict = "leaving"
-	// TargetQuiet means that the instance has turned a request away and wants nothing from this host for a time.
-	TargetQuiet LossVerdict = "quiet"
-)
-
-// LossDecision is a verdict with its inputs and the judgement on the request that follows.
-type LossDecision struct {
-	// Fingerprint identifies the request; it is 0 for the result of a probe that shows no end.
-	Fingerprint uint64
-	Instance    evidence.Instance
-	Verdict     LossVerdict
-	Judgement   evidence.Judgement
-	// Source is the host that found it; empty for this one.
-	Source model.HostID
-	// For is the length of the time after TargetQuiet.
-	For time.Duration
-}
-
 // endings maps verdicts to the certainty of the end.
-var endings = map[LossVerdict]evidence.Ending{
+var endings = map[TargetVerdict]evidence.Ending{
 	LossTargetRefuses:      evidence.Gone,
 	LossTargetReplaced:     evidence.Gone,
 	LossTargetDeregistered: evidence.Deregistered,
@@ -108,7 +71,7 @@
 }
 
 // recordEnding updates the evidence after an attempt. It returns the decisions to report. The caller holds e.mu.
-func (r *run) recordEnding(p *pickedTarget, reply *exchange.Reply, err error) []LossDecision {
+func (r *run) recordEnding(p *pickedTarget, reply *exchange.Reply, err error) []TargetDecision {
 	e, attempt, now := r.engine, evidence.Attempt{Request: r.evidence, Sent: p.sent}, monotime.Now()
 	witness := &p.state.witness
 	switch {
@@ -143,7 +106,7 @@
 }
 
 // recordAnswer records that a target has answered the request. The caller holds e.mu.
-func (r *run) recordAnswer(now time.Duration) []LossDecision {
+func (r *run) recordAnswer(now time.Duration) []TargetDecision {
 	e := r.engine
 	if r.evidence.Answered {
 		return nil
@@ -154,24 +117,24 @@
 		return nil
 	}
 	e.cfg.Evidence.Observe(now, evidence.Fact{Kind: evidence.Answered, Fingerprint: r.fingerprint})
-	return []LossDecision{{Fingerprint: r.fingerprint, Verdict: LossRefuted, Judgement: e.judge(r.fingerprint)}}
+	return []TargetDecision{{Fingerprint: r.fingerprint, Verdict: LossRefuted, Judgement: e.judge(r.fingerprint)}}
 }
 
 // recordEnd records that an instance has ended. The caller holds e.mu.
-func (e *Engine) recordEnd(t *targetState, verdict LossVerdict) []LossDecision {
+func (e *Engine) recordEnd(t *targetState, verdict TargetVerdict) []TargetDecision {
 	t.endVerdict = verdict
 	return e.recordCrashes(t, t.witness.Ended(monotime.Now(), endings[verdict]), verdict)
 }
 
 // recordCrashes adds the end of an instance to the evidence against the requests that were there.
-func (e *Engine) recordCrashes(t *targetState, attempts []evidence.Attempt, verdict LossVerdict) []LossDecision {
+func (e *Engine) recordCrashes(t *targetState, attempts []evidence.Attempt, verdict TargetVerdict) []TargetDecision {
 	now := monotime.Now()
 	instance := evidence.Instance{Target: t.id, Incarnation: t.incarnation}
-	var decisions []LossDecision
+	var decisions []TargetDecision
 	for _, a := range attempts {
 		fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Age: now - a.Sent}
 		if e.cfg.Evidence.Observe(now, fact) {
-			decisions = append(decisions, LossDecision{
+			decisions = append(decisions, TargetDecision{
 				Fingerprint: fact.Fingerprint, Instance: instance, Verdict: verdict, Judgement: e.judge(fact.Fingerprint),
 			})
 		}
@@ -180,8 +143,8 @@
 }
 
 // recordRegistrations compares the instances with attempts to the registered ones. The caller holds e.mu.
-func (e *Engine) recordRegistrations(previous, current *RoutingState) []LossDecision {
-	var decisions []LossDecision
+func (e *Engine) recordRegistrations(previous, current *RoutingState) []TargetDecision {
+	var decisions []TargetDecision
 	moved := newAddresses(previous, current)
 	for id, t := range e.targets {
 		registered, ok := current.registered[id]
@@ -214,10 +177,10 @@
 
 // ReportLearned reports facts that another host has found.
 func (e *Engine) ReportLearned(from model.HostID, facts []evidence.Fact) {
-	decisions := make([]LossDecision, len(facts))
+	decisions := make([]TargetDecision, len(facts))
 	e.mu.Lock()
 	for i, f := range facts {
-		decisions[i] = LossDecision{
+		decisions[i] = TargetDecision{
 			Fingerprint: f.Fingerprint, Instance: f.Instance, Verdict: LossLearned, Judgement: e.judge(f.Fingerprint), Source: from,
 		}
 		switch f.Kind {
@@ -229,23 +192,16 @@
 		}
 	}
 	e.mu.Unlock()
-	e.reportLosses(decisions)
+	e.reportDecisions(decisions)
 }
 
-// reportLosses passes decisions to the observer. The caller does not hold e.mu.
-func (e *Engine) reportLosses(decisions []LossDecision) {
+// reportDecisions passes decisions to the observer. The caller does not hold e.mu.
+func (e *Engine) reportDecisions(decisions []TargetDecision) {
 	if e.cfg.Observer == nil {
 		return
 	}
 	for _, d := range decisions {
-		switch d.Verdict {
-		case TargetLeaving:
-			e.cfg.Observer.TargetLeaves(d.Instance, d.Source)
-		case TargetQuiet:
-			e.cfg.Observer.TargetWantsNothing(d.Instance, d.For)
-		default:
-			e.cfg.Observer.LossDecided(d)
-		}
+		e.cfg.Observer.TargetJudged(d)
 	}
 }
 
@@ -272,15 +228,15 @@
 	e.mu.Lock()
 	p.state.probing = false
 	e.probes--
-	var decisions []LossDecision
+	var decisions []TargetDecision
 	switch {
 	case err == nil:
-		decisions = []LossDecision{{Instance: p.instance(), Verdict: LossTargetAccepts}}
+		decisions = []TargetDecision{{Instance: p.instance(), Verdict: LossTargetAccepts}}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		decisions = e.recordEnd(p.state, LossTargetRefuses)
 	default:
-		decisions = []LossDecision{{Instance: p.instance(), Verdict: LossTargetSilent}}
+		decisions = []TargetDecision{{Instance: p.instance(), Verdict: LossTargetSilent}}
 	}
 	e.mu.Unlock()
-	e.reportLosses(decisions)
+	e.reportDecisions(decisions)
 }
--- /dev/null
+++ b/internal/forward/decision.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
+)
+
+// TargetVerdict is what a host concludes about a target: from an attempt that got no answer, or from what the target says of
+// itself.
+type TargetVerdict string
+
+// The verdicts. Those that begin with Loss concern attempts that got no answer.
+const (
+	// LossTargetAccepts, the result of a probe, means that the target's address accepts connections, which proves neither its
+	// life nor its end.
+	LossTargetAccepts TargetVerdict = "address accepts"
+	// LossTargetSilent, the result of a probe, means that the target's address did not answer a probe.
+	LossTargetSilent TargetVerdict = "address silent"
+	// LossTargetRefuses means that the target's address refuses connections: the target has ended.
+	LossTargetRefuses TargetVerdict = "target refuses"
+	// LossTargetReplaced means that another instance has the target's ID or its address.
+	LossTargetReplaced TargetVerdict = "target replaced"
+	// LossTargetDeregistered means that the target's registration ended within seconds of the loss.
+	LossTargetDeregistered TargetVerdict = "target deregistered"
+	// LossLearned means that another host has found that the target ended.
+	LossLearned TargetVerdict = "learned"
+	// LossRefuted means that a target has answered the request, which therefore did not crash the others.
+	LossRefuted TargetVerdict = "refuted by an answer"
+	// TargetLeaving means that the instance has said that it is shutting down.
+	TargetLeaving TargetVerdict = "leaving"
+	// TargetQuiet means that the instance has turned a request away and wants nothing from this host for a time.
+	TargetQuiet TargetVerdict = "quiet"
+)
+
+// TargetDecision is a verdict with its inputs and the judgement on the request that follows.
+type TargetDecision struct {
+	// Fingerprint identifies the request; it is 0 if the verdict concerns none.
+	Fingerprint uint64
+	Instance    evidence.Instance
+	Verdict     TargetVerdict
+	Judgement   evidence.Judgement
+	// Source is the host that found it; empty for this one.
+	Source model.HostID
+	// For is the length of the time after TargetQuiet.
+	For time.Duration
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -49,12 +49,8 @@
 type Observer interface {
 	// RequestEnded is called once for each request.
 	RequestEnded(Trace)
-	// LossDecided is called for each verdict on an attempt that got no answer.
-	LossDecided(LossDecision)
-	// TargetLeaves is called when this host, or the given other one, has found that an instance leaves.
-	TargetLeaves(evidence.Instance, model.HostID)
-	// TargetWantsNothing is called when an instance has turned a request away and wants nothing from this host for a time.
-	TargetWantsNothing(evidence.Instance, time.Duration)
+	// TargetJudged is called for each verdict on a target, of this host or learned from another one.
+	TargetJudged(TargetDecision)
 }
 
 // Request is a request of a caller together with its route.
@@ -147,9 +143,9 @@
 
 // SetRoutingState replaces the configuration and the targets. It drops the state of services, routes and idle targets
 // that are no longer part of them.
-func (e *Engine) SetRoutingState(rs *RoutingState) { e.reportLosses(e.replaceRoutingState(rs)) }
+func (e *Engine) SetRoutingState(rs *RoutingState) { e.reportDecisions(e.replaceRoutingState(rs)) }
 
-func (e *Engine) replaceRoutingState(rs *RoutingState) []LossDecision {
+func (e *Engine) replaceRoutingState(rs *RoutingState) []TargetDecision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	decisions := e.recordRegistrations(e.routingState.Load(), rs)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -263,7 +263,7 @@
 		MaxReplyBytes:  r.replyLimit(),
 		Memory:         r.memory,
 	})
-	r.engine.reportLosses(r.recordResult(p, started, reply, err))
+	r.engine.reportDecisions(r.recordResult(p, started, reply, err))
 	r.openAttempts.Add(-1)
 	select {
 	case r.events <- event{attempt: number, reply: reply, err: err}:
@@ -281,7 +281,7 @@
 
 // recordResult updates the statistics of the target, its service and the route, the budget, and the evidence of crashes. It
 // returns the decisions about the latter.
-func (r *run) recordResult(p pickedTarget, started time.Duration, reply *exchange.Reply, err error) []LossDecision {
+func (r *run) recordResult(p pickedTarget, started time.Duration, reply *exchange.Reply, err error) []TargetDecision {
 	e := r.engine
 	now := e.now()
 	e.mu.Lock()
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -33,7 +33,7 @@
 	// witness relates attempts without an answer to the end of the instance; endVerdict is how that became known. probing
 	// is set while a probe is in progress.
 	witness    evidence.Witness
-	endVerdict LossVerdict
+	endVerdict TargetVerdict
 	probing    bool
 	// nextProbe is the monotime reading from which the instance may be probed again, if it was probed.
 	probed    bool
--- a/internal/forward/willing.go
+++ b/internal/forward/willing.go
@@ -28,9 +28,9 @@
 func (t *targetState) isWilling(now time.Duration) bool { return !t.leaving && now >= t.quietUntil }
 
 // recordWishes takes over what a reply says of its target. The caller holds e.mu.
-func (r *run) recordWishes(p *pickedTarget, reply *exchange.Reply) []LossDecision {
+func (r *run) recordWishes(p *pickedTarget, reply *exchange.Reply) []TargetDecision {
 	e, t := r.engine, p.state
-	var decisions []LossDecision
+	var decisions []TargetDecision
 	if reply.RetryAfter > 0 {
 		until := e.now() + reply.RetryAfter
 		if until > t.quietUntil {
@@ -38,7 +38,7 @@
 			t.quietUntil = until + rand.N(jitter+time.Millisecond)
 			e.unwilling[t.id] = t
 		}
-		decisions = append(decisions, LossDecision{Instance: p.instance(), Verdict: TargetQuiet, For: reply.RetryAfter})
+		decisions = append(decisions, TargetDecision{Instance: p.instance(), Verdict: TargetQuiet, For: reply.RetryAfter})
 	}
 	if !reply.Leaving {
 		return decisions
@@ -50,7 +50,7 @@
 	t.leaving = true
 	e.unwilling[t.id] = t
 	e.cfg.Evidence.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Leaving, Instance: p.instance()})
-	return append(decisions, LossDecision{Instance: p.instance(), Verdict: TargetLeaving})
+	return append(decisions, TargetDecision{Instance: p.instance(), Verdict: TargetLeaving})
 }
 
 // markLeaving applies what another host has found. The caller holds e.mu.
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -13,7 +13,6 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
-	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
 )
 
@@ -73,49 +72,6 @@
 	}
 }
 
-// LossDecided implements forward.Observer. Probes that decide nothing are only counted. The lines of quarantines are not
-// limited, because crashes bound their number.
-func (o *observer) LossDecided(d forward.LossDecision) {
-	o.metrics.GetOrCreateCounter(`knapweedrouter_losses_total{verdict="` + string(d.Verdict) + `"}`).Inc()
-	if d.Fingerprint == 0 {
-		return
-	}
-	fields := []zap.Field{
-		zap.String("verdict", string(d.Verdict)), zap.String("target", string(d.Instance.Target)),
-		zap.Uint64("incarnation", uint64(d.Instance.Incarnation)), zap.String("fingerprint", strconv.FormatUint(d.Fingerprint, 16)),
-		zap.Int("crashes", d.Judgement.Crashes),
-	}
-	if d.Source != "" {
-		fields = append(fields, zap.String("source", string(d.Source)))
-	}
-	switch {
-	case d.Judgement.Verdict == evidence.Quarantined:
-		o.metrics.GetOrCreateCounter("knapweedrouter_quarantines_total").Inc()
-		o.logger.Warn("request quarantined", append(fields, zap.Duration("left", d.Judgement.Left))...)
-	case o.logLimiter.Allow():
-		o.logger.Info("lost attempt judged", fields...)
-	}
-}
-
-// TargetLeaves implements forward.Observer.
-func (o *observer) TargetLeaves(i evidence.Instance, source model.HostID) {
-	o.metrics.GetOrCreateCounter("knapweedrouter_targets_leaving_total").Inc()
-	o.logger.Info("target leaving by its own word", zap.String("target", string(i.Target)),
-		zap.Uint64("incarnation", uint64(i.Incarnation)), zap.String("source", string(source)))
-	if o.markLeaving != nil {
-		o.markLeaving(i)
-	}
-}
-
-// TargetWantsNothing implements forward.Observer.
-func (o *observer) TargetWantsNothing(i evidence.Instance, length time.Duration) {
-	o.metrics.GetOrCreateCounter("knapweedrouter_targets_quiet_total").Inc()
-	if o.logLimiter.Allow() {
-		o.logger.Info("target wants nothing", zap.String("target", string(i.Target)), zap.Uint64("incarnation", uint64(i.Incarnation)),
-			zap.Duration("for", length))
-	}
-}
-
 // recordAndSample adds the request to the route summary and reports whether to log it: every request that is not
 // ordinary, within the rate limit, and a sample of the others.
 func (o *observer) recordAndSample(t *forward.Trace) bool {
