relay: gather evidence before a reply, so that facts share pulls

A relay answered every waiting pull at each new fact. While many targets leave one after the other, every host would pull as often. A relay gathers for 0.25 s now, except at a host's first pull.

--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -21,6 +21,9 @@
 const (
 	// spreadInterval is the pause after facts were sent, so that facts in quick succession share a frame.
 	spreadInterval = 20 * time.Millisecond
+	// newsGather is how long a relay gathers evidence before it answers a pull, so that every host pulls a few times a second
+	// at most while many targets leave.
+	newsGather = 250 * time.Millisecond
 	// Facts are sent again at spreadRepeats ticks of repeatInterval, because a frame may be lost.
 	repeatInterval = time.Second
 	spreadRepeats  = 2
@@ -94,6 +97,26 @@
 	}
 }
 
+// newsFor returns the evidence that a pulling host may lack.
+func (r *Relay) newsFor(p *pull) evidence.Batch {
+	return r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After)
+}
+
+// awaitReplyOrNews returns the reply to a pull. It waits for changes up to p.Wait. If there is evidence that the host may lack, it
+// waits for further evidence only, except at the first pull of a host.
+func (r *Relay) awaitReplyOrNews(ctx context.Context, p pull) pullReply {
+	_, changed := r.cfg.Evidence.Changed()
+	if len(r.newsFor(&p).Facts) > 0 {
+		p.Wait = 0
+	}
+	reply := r.log.awaitReply(ctx, p, changed)
+	if p.After > 0 && len(reply.Changes) == 0 && len(r.newsFor(&p).Facts) > 0 {
+		_ = ctxtime.Sleep(ctx, newsGather) // a call that has ended needs no reply
+	}
+	reply.News = r.newsFor(&p)
+	return reply
+}
+
 func (r *Relay) handleNews(_ context.Context, from peer.Sender, decode func(any) error) (any, error) {
 	var request newsRequest
 	if err := decode(&request); err != nil {
--- a/internal/relay/news_test.go
+++ b/internal/relay/news_test.go
@@ -125,6 +125,27 @@
 	})
 }
 
+// TestManyFactsShareReplies guards the relays against a pull of every host for every fact, while many targets leave one after the
+// other.
+func TestManyFactsShareReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 12)
+		defer d.end()
+		const span, facts = 5 * time.Second, 250
+		before := d.network.sentFrames(kindPull)
+		for i := range facts {
+			d.hosts[i%len(d.hosts)].observeCrash(uint64(i), fmt.Sprint("t", i))
+			time.Sleep(span / facts)
+		}
+		pulls := d.network.sentFrames(kindPull) - before
+		require.LessOrEqual(t, pulls, len(d.hosts)*int(span/newsGather+2))
+		time.Sleep(spreadTime)
+		for _, h := range d.hosts {
+			require.Equal(t, facts, h.cfg.Evidence.Summary(monotime.Now()).Facts, h.cfg.Host)
+		}
+	})
+}
+
 func (n *network) setDown(h *host, down bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,27 +196,15 @@
 	}
 	r.mergeNews(from.Host, p.News.Facts)
 	if !r.IsRelay() || r.storeFailed.Load() {
-		return pullReply{Status: pullUnavailable, News: r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After)}, nil
+		return pullReply{Status: pullUnavailable, News: r.newsFor(&p)}, nil
 	}
 	r.directory.recordPull(from.Host, p, time.Now())
-	reply := r.awaitReply(ctx, p)
+	reply := r.awaitReplyOrNews(ctx, p)
 	size := r.directory.size(time.Now())
 	reply.Hosts, reply.Large = size.Hosts, size.Large
 	return reply, nil
 }
 
-// awaitReply returns the reply to a pull. It waits for changes up to p.Wait, but not if there is evidence that the host may
-// lack.
-func (r *Relay) awaitReply(ctx context.Context, p pull) pullReply {
-	_, changed := r.cfg.Evidence.Changed()
-	if news := r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After); len(news.Facts) > 0 {
-		p.Wait = 0
-	}
-	reply := r.log.awaitReply(ctx, p, changed)
-	reply.News = r.cfg.Evidence.Since(monotime.Now(), p.News.Origin, p.News.After)
-	return reply
-}
-
 func (r *Relay) handleMoved(_ context.Context, from peer.Sender, decode func(any) error) (any, error) {
 	var m moved
 	if err := decode(&m); err != nil {
