scatter: let a suspect query ask another shard if one is unreachable

A suspect runs at one target at a time until one answers. If the first shard had no target that accepts connections or takes requests, the query waited there until its deadline, although any other shard could have cleared it. Found by reading; TestSuspectAsksAnotherShard failed before (no attempt at another shard).

--- a/internal/scatter/attempts.go
+++ b/internal/scatter/attempts.go
@@ -137,6 +137,9 @@
 		p.retries++
 		m.schedule(p, now+m.picker.Backoff(p.retries), Retry)
 	}
+	if m.cfg.Suspect && m.cfg.RetryNotRun && p.unreachable && m.round.answered == 0 {
+		m.sendFirst(now) // a part without any target must not keep the query from being cleared by another one
+	}
 }
 
 // sendReplacement immediately sends a replacement to a replica that has not been tried yet. Once all replicas have been
--- a/internal/scatter/machine.go
+++ b/internal/scatter/machine.go
@@ -143,14 +143,20 @@
 func (m *Machine) start(now time.Duration) {
 	m.started = true
 	m.timer = never
+	m.sendFirst(now)
+}
+
+// sendFirst sends the first attempts at the parts that have none. If the query is a suspect, it stops after one part that may
+// be answered.
+func (m *Machine) sendFirst(now time.Duration) {
 	for i := range m.round.parts {
 		p := &m.round.parts[i]
-		if len(m.round.snapshot.Parts[i].Replicas) == 0 {
+		if p.active || p.reply != nil || len(p.tried) > 0 || p.unreachable || len(m.round.snapshot.Parts[i].Replicas) == 0 {
 			continue
 		}
 		m.schedule(p, now, First)
 		m.trySend(now, i, p)
-		if m.cfg.Suspect {
+		if m.cfg.Suspect && !p.unreachable {
 			return
 		}
 	}
--- a/internal/scatter/unreachable_test.go
+++ b/internal/scatter/unreachable_test.go
@@ -30,6 +30,33 @@
 	return m, sent
 }
 
+// TestSuspectAsksAnotherShard guards against a suspect query that waits for its deadline at a shard whose targets refuse
+// connections, or take no request in time, although another shard could clear it.
+func TestSuspectAsksAnotherShard(t *testing.T) {
+	f := &fakeFleet{rng: rand.New(rand.NewPCG(1, 1)), attempts: map[int]*sentAttempt{}}
+	f.newer = snapshot.New([]model.IndexID{"a"}, targetReports(4, 4, 3))
+	m := New(Config{
+		Snapshot: f.newer.Choose(), Pinned: true, Mode: Fast, MinCoverage: 0.7, SoftDeadline: 80 * ms, Deadline: 500 * ms,
+		RetryLost: true, RetryNotRun: true, Suspect: true,
+	}, f)
+	sent := map[int]Attempt{}
+	record(sent, m.Tick(0))
+	require.Len(t, sent, 1, "a suspect runs at one target at a time")
+	for id := range replicasOfShard {
+		record(sent, m.Fail(2*ms, id, FailedUnreachable))
+	}
+	require.Len(t, sent, replicasOfShard+1)
+	require.NotEqual(t, sent[0].Part, sent[replicasOfShard].Part)
+	record(sent, m.Reply(5*ms, replicasOfShard, anyReply{}))
+	parts := map[int]bool{}
+	for _, a := range sent {
+		parts[a.Part] = true
+	}
+	require.Len(t, parts, 4, "an answer clears the query")
+}
+
+const replicasOfShard = 3
+
 func record(sent map[int]Attempt, actions []Action) {
 	for _, action := range actions {
 		if action.Type == Send {
