evidence: take an answer as proof that an instance lives on

A refused connection marked an instance as ended for good, so that its real end later was no evidence. An answer to an attempt that was sent after the supposed end takes the mark back. Found by reading; the case in TestWitnessRelatesAttemptsToTheEnd.

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -164,6 +164,16 @@
 	require.Equal(t, []Attempt{running}, w.Ended(5*second, Gone), "what runs at an instance that is gone gets no answer")
 	require.Empty(t, w.Ended(5*second, Gone))
 
+	var alive Witness
+	alive.Started(running)
+	require.Equal(t, []Attempt{running}, alive.Ended(3*second, Gone))
+	after, next := attempt(6, 4*second), attempt(7, 5*second)
+	alive.Started(after)
+	alive.Answered(after)
+	alive.Started(next)
+	require.False(t, alive.Unanswered(6*second, next))
+	require.Equal(t, []Attempt{next}, alive.Ended(7*second, Gone), "an instance that answered after a supposed end can still end")
+
 	var leaving Witness
 	leaving.Started(lost)
 	require.False(t, leaving.Unanswered(2*second, lost))
--- a/internal/evidence/witness.go
+++ b/internal/evidence/witness.go
@@ -56,9 +56,18 @@
 // Started records an attempt that is about to be sent.
 func (w *Witness) Started(a Attempt) { w.running = append(w.running, a) }
 
-// Ran records the end of an attempt that says nothing of the target's end: it was answered, or did not reach the target.
+// Ran records the end of an attempt that did not run.
 func (w *Witness) Ran(a Attempt) { w.removeRunning(a) }
 
+// Answered records the end of an attempt that the target has answered. If it was sent after a supposed end, the instance lives: a
+// connection may be refused for other reasons.
+func (w *Witness) Answered(a Attempt) {
+	w.removeRunning(a)
+	if w.ending != Running && a.Sent > w.endKnown {
+		w.ending = Running
+	}
+}
+
 // Unanswered records the end of an attempt without an answer. It reports whether the target is known to have ended under
 // it.
 func (w *Witness) Unanswered(now time.Duration, a Attempt) bool {
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -76,7 +76,7 @@
 	witness := &p.state.witness
 	switch {
 	case err == nil, errors.Is(err, exchange.ErrFailure) && reply.Signature != "":
-		witness.Ran(attempt)
+		witness.Answered(attempt)
 		return r.recordAnswer(now)
 	case errors.Is(err, targetclient.ErrDraining):
 		witness.Ran(attempt)
