--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -29,14 +29,17 @@
 	spreadRepeats  = 2
 	// fetchTimeout bounds a call for the evidence of a relay.
 	fetchTimeout = time.Second
+	// maxLinks bounds the remembered positions. Without one, all facts are exchanged again.
+	maxLinks = 256
 	// maxFetches bounds the batches fetched in a row.
 	maxFetches = 8
 )
 
-// newsRequest hands over facts and, if sent as a call, asks for the receiver's facts after a position.
+// newsRequest hands over facts and, if Fetch is set, asks for the receiver's facts after a position.
 type newsRequest struct {
 	Facts         evidence.Batch
 	Origin, After uint64
+	Fetch         bool
 }
 
 // newsLinks tracks which facts were exchanged with each relay. It is safe for concurrent use.
@@ -67,7 +70,7 @@
 	if link.sent < own {
 		facts = n.log.OwnSince(monotime.Now(), link.sent)
 	}
-	return newsRequest{Facts: facts, Origin: link.origin, After: link.received}
+	return newsRequest{Facts: facts, Origin: link.origin, After: link.received, Fetch: true}
 }
 
 // reply records the reply of a relay to a request, and returns the facts that were new.
@@ -82,6 +85,9 @@
 		link = newsLink{origin: b.Origin}
 	}
 	link.received = max(link.received, b.Position)
+	if len(n.links) >= maxLinks {
+		clear(n.links)
+	}
 	n.links[relay] = link
 	return added
 }
@@ -123,6 +129,9 @@
 		return nil, err
 	}
 	r.mergeNews(from.Host, request.Facts)
+	if !request.Fetch {
+		return nil, nil
+	}
 	return r.cfg.Evidence.Since(monotime.Now(), request.Origin, request.After), nil
 }
 
