--- a/internal/server/execute.go
+++ b/internal/server/execute.go
@@ -30,6 +30,7 @@
 		return // Run fails with fleet.err
 	}
 	s.executor = s.newExecutor(incarnation, s.fleet.transport, s.fleet.control)
+	s.guard.serveSnapshots(s.fleet.transport)
 	s.operator.dumps.Add("admission", func() any { return s.admitter.load() })
 	s.operator.dumps.Add("quarantine", func() any { return s.guard.statistics() })
 	s.operator.dumps.Add("tickets", func() any { return s.executor.Statistics() })
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -157,6 +157,7 @@
 	s.startGates(ctx, tasks)
 	tasks.Go(func() { s.pollStatuses(ctx) })
 	tasks.Go(func() { s.admitter.run(ctx) })
+	tasks.Go(func() { s.guard.fetchSnapshots(ctx, s.fleet.transport, s.fleet.control.Members) })
 	tasks.Go(func() { s.watchOut(ctx, s.executor, s.fleet.control) })
 	tasks.Go(func() { s.serveOperators(ctx, operators) })
 }
