--- a/internal/evidence/witness.go
+++ b/internal/evidence/witness.go
@@ -71,14 +71,11 @@
 // Unanswered records the end of an attempt without an answer. It reports whether the target is known to have ended under
 // it.
 func (w *Witness) Unanswered(now time.Duration, a Attempt) bool {
-	if !w.removeRunning(a) || w.planned {
+	if !w.removeRunning(a) || w.planned || a.Request.Answered {
 		return false
 	}
 	if w.ending != Running {
-		return a.Sent <= w.endKnown && !a.Request.Answered
-	}
-	if a.Request.Answered {
-		return false
+		return a.Sent <= w.endKnown
 	}
 	w.forget(now)
 	if len(w.unanswered) >= maxUnanswered {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -118,15 +118,7 @@
 
 // Probe implements Client.
 func (p *Pool) Probe(ctx context.Context, a *Attempt) error {
-	conns, idle, err := p.reserve(a)
-	if err != nil {
-		return err
-	}
-	if idle != nil { // another attempt has opened it since the loss
-		p.release(conns, idle, true)
-		return nil
-	}
-	conn, err := p.open(ctx, conns, a)
+	conns, conn, err := p.acquire(ctx, a)
 	if err != nil {
 		return err
 	}
@@ -140,12 +132,6 @@
 	if err != nil || conn != nil {
 		return conns, conn, err
 	}
-	conn, err = p.open(ctx, conns, a)
-	return conns, conn, err
-}
-
-// open opens a connection that is already counted.
-func (p *Pool) open(ctx context.Context, conns *targetConns, a *Attempt) (*connection, error) {
 	p.counters.Opened.Add(1)
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
@@ -154,9 +140,9 @@
 		p.mu.Lock()
 		conns.openCount--
 		p.mu.Unlock()
-		return nil, err
+		return nil, nil, err
 	}
-	return newConnection(opened), nil
+	return conns, newConnection(opened), nil
 }
 
 // reserve returns an idle connection, or a nil connection if the caller must open one, which is already counted.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -47,8 +47,8 @@
 	return digest.Sum64()
 }
 
-func (p *pickedTarget) instance() evidence.Instance {
-	return evidence.Instance{Target: p.target.Target, Incarnation: p.target.Incarnation}
+func (t *targetState) instance() evidence.Instance {
+	return evidence.Instance{Target: t.id, Incarnation: t.incarnation}
 }
 
 // requestOf returns what is known of the answers to a request. The caller holds e.mu.
@@ -129,7 +129,7 @@
 // recordCrashes adds the end of an instance to the evidence against the requests that were there.
 func (e *Engine) recordCrashes(t *targetState, attempts []evidence.Attempt, verdict TargetVerdict) []TargetDecision {
 	now := monotime.Now()
-	instance := evidence.Instance{Target: t.id, Incarnation: t.incarnation}
+	instance := t.instance()
 	var decisions []TargetDecision
 	for _, a := range attempts {
 		fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Age: now - a.Sent}
@@ -231,11 +231,11 @@
 	var decisions []TargetDecision
 	switch {
 	case err == nil:
-		decisions = []TargetDecision{{Instance: p.instance(), Verdict: LossTargetAccepts}}
+		decisions = []TargetDecision{{Instance: p.state.instance(), Verdict: LossTargetAccepts}}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		decisions = e.recordEnd(p.state, LossTargetRefuses)
 	default:
-		decisions = []TargetDecision{{Instance: p.instance(), Verdict: LossTargetSilent}}
+		decisions = []TargetDecision{{Instance: p.state.instance(), Verdict: LossTargetSilent}}
 	}
 	e.mu.Unlock()
 	e.reportDecisions(decisions)
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -61,7 +61,7 @@
 	state := e.targets[t.Target]
 	if state == nil || state.incarnation != t.Incarnation {
 		state = &targetState{id: t.Target, incarnation: t.Incarnation, address: t.Address, coldTokens: 1}
-		state.leaving = e.cfg.Evidence.IsLeaving(evidence.Instance{Target: t.Target, Incarnation: t.Incarnation})
+		state.leaving = e.cfg.Evidence.IsLeaving(state.instance())
 		e.targets[t.Target] = state
 		delete(e.unwilling, t.Target)
 		if state.leaving {
--- a/internal/forward/willing.go
+++ b/internal/forward/willing.go
@@ -38,19 +38,19 @@
 			t.quietUntil = until + rand.N(jitter+time.Millisecond)
 			e.unwilling[t.id] = t
 		}
-		decisions = append(decisions, TargetDecision{Instance: p.instance(), Verdict: TargetQuiet, For: reply.RetryAfter})
+		decisions = append(decisions, TargetDecision{Instance: t.instance(), Verdict: TargetQuiet, For: reply.RetryAfter})
 	}
 	if !reply.Leaving {
 		return decisions
 	}
-	r.leaving = append(r.leaving, p.instance())
+	r.leaving = append(r.leaving, t.instance())
 	if t.leaving {
 		return decisions
 	}
 	t.leaving = true
 	e.unwilling[t.id] = t
-	e.cfg.Evidence.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Leaving, Instance: p.instance()})
-	return append(decisions, TargetDecision{Instance: p.instance(), Verdict: TargetLeaving})
+	e.cfg.Evidence.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Leaving, Instance: t.instance()})
+	return append(decisions, TargetDecision{Instance: t.instance(), Verdict: TargetLeaving})
 }
 
 // markLeaving applies what another host has found. The caller holds e.mu.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -34,7 +34,6 @@
 	// gracePeriod is the time in ns from the stop signal to the kill.
 	gracePeriod atomic.Int64
 	stopping    atomic.Bool
-	refusing    atomic.Bool
 	// cutoffAt is the monotime reading at which requests in progress get their final answer; set once stopping is.
 	cutoffAt    atomic.Int64
 	inFlight    atomic.Int64
@@ -67,10 +66,7 @@
 
 // refusal returns the error for new requests, or nil if they are accepted.
 func (s *stopper) refusal() *fault.Error {
-	if s.refusing.Load() {
-		return errStopping
-	}
-	return nil
+	return s.refusalOf(refuseMargin - cutoffMargin)
 }
 
 // refusalOf returns the error for a request that may take the given time, or nil if it can be answered before the cutoff.
@@ -119,8 +115,6 @@
 	logger.Info("planned stop: not ready", zap.Int64("in_progress", s.inFlight.Load()))
 	go leave(ctx)
 	latest := started.Add(time.Duration(s.gracePeriod.Load()) - stopMargin)
-	refuse := time.AfterFunc(time.Until(latest.Add(-refuseMargin)), func() { s.refusing.Store(true) })
-	defer refuse.Stop()
 	final := time.AfterFunc(time.Until(latest.Add(-cutoffMargin)), func() { s.cancelCutoff(errStopping) })
 	defer final.Stop()
 	for time.Now().Before(latest) && !s.isIdle(started) && ctx.Err() == nil {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -69,13 +69,24 @@
 // addReport adds a report to the evidence. It returns true if the report names a request that was not known to be
 // at the lost target, or not known to have run alone there.
 func (s *State) addReport(now time.Duration, report Report) bool {
+	known, isNew := s.addEntries(report)
+	for _, entry := range report.Entries {
+		s.updateQuarantine(now, entry)
+	}
+	if isNew {
+		s.releaseUnproven(known)
+	}
+	return isNew
+}
+
+// addEntries adds the entries of a report to the loss and to the suspects. isNew is as for addReport.
+func (s *State) addEntries(report Report) (known *loss, isNew bool) {
 	key := lossKey{report.Target, report.Incarnation}
 	known, ok := s.losses.get(key)
 	if !ok {
 		known = &loss{ranAlone: map[Fingerprint]bool{}}
 		s.losses.put(key, known)
 	}
-	isNew := false
 	for _, entry := range report.Entries {
 		wasAlone, there := known.ranAlone[entry.Fingerprint]
 		isNew = isNew || !there || entry.Alone && !wasAlone
@@ -83,12 +94,8 @@
 	}
 	for _, entry := range report.Entries {
 		s.suspectOf(entry.Fingerprint).addEvidence(key)
-		s.updateQuarantine(now, entry)
 	}
-	if isNew {
-		s.releaseUnproven(known)
-	}
-	return isNew
+	return known, isNew
 }
 
 func (s *State) suspectOf(fingerprint Fingerprint) *suspect {
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -37,18 +37,8 @@
 // Merge takes over the evidence of another host. Quarantines last as long as there; they do not begin again.
 func (s *State) Merge(now time.Duration, snapshot Snapshot) {
 	for _, report := range snapshot.Reports {
-		if len(report.Entries) > maxSuspectsPerLoss {
-			continue
-		}
-		key := lossKey{report.Target, report.Incarnation}
-		known, ok := s.losses.get(key)
-		if !ok {
-			known = &loss{ranAlone: map[Fingerprint]bool{}}
-			s.losses.put(key, known)
-		}
-		for _, entry := range report.Entries {
-			known.ranAlone[entry.Fingerprint] = known.ranAlone[entry.Fingerprint] || entry.Alone
-			s.suspectOf(entry.Fingerprint).addEvidence(key)
+		if len(report.Entries) <= maxSuspectsPerLoss {
+			s.addEntries(report)
 		}
 	}
 	for _, q := range snapshot.Quarantines {
--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -73,9 +73,8 @@
 	return newsRequest{Facts: facts, Origin: link.origin, After: link.received, Fetch: true}
 }
 
-// reply records the reply of a relay to a request, and returns the facts that were new.
-func (n *newsLinks) reply(relay model.HostID, request newsRequest, b evidence.Batch) []evidence.Fact {
-	added := n.log.Merge(monotime.Now(), b)
+// recordReply records that a relay has answered a request with facts that were merged.
+func (n *newsLinks) recordReply(relay model.HostID, request newsRequest, b evidence.Batch) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	link := n.links[relay]
@@ -89,16 +88,11 @@
 		clear(n.links)
 	}
 	n.links[relay] = link
-	return added
 }
 
 // mergeNews adds facts of another host to the evidence.
 func (r *Relay) mergeNews(from model.HostID, b evidence.Batch) {
-	r.reportNews(from, r.cfg.Evidence.Merge(monotime.Now(), b))
-}
-
-func (r *Relay) reportNews(from model.HostID, added []evidence.Fact) {
-	if len(added) > 0 && r.cfg.Learned != nil {
+	if added := r.cfg.Evidence.Merge(monotime.Now(), b); len(added) > 0 && r.cfg.Learned != nil {
 		r.cfg.Learned(from, added)
 	}
 }
@@ -197,7 +191,8 @@
 			r.logger.Info("failed to fetch evidence", zap.String("relay", string(relay.Host)), zap.Error(err))
 			return err
 		}
-		r.reportNews(relay.Host, r.news.reply(relay.Host, request, b))
+		r.mergeNews(relay.Host, b)
+		r.news.recordReply(relay.Host, request, b)
 		if len(b.Facts) == 0 {
 			return nil
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,15 +124,6 @@
 	return found
 }
 
-// Addresses returns the addresses of the other relays.
-func (r *Relay) Addresses() []string {
-	var all []string
-	for _, relay := range r.directory.relays(time.Now()) {
-		all = append(all, relay.Address)
-	}
-	return all
-}
-
 // Leave announces a planned stop to the other hosts, so that they use other relays.
 func (r *Relay) Leave(ctx context.Context) {
 	if err := r.slot.markLeaving(ctx); err != nil {
@@ -379,7 +370,8 @@
 		r.cfg.OlderIncarnation(older.Known)
 	}
 	if err == nil {
-		r.reportNews(relay.Host, r.news.reply(relay.Host, p.News, reply.News))
+		r.mergeNews(relay.Host, reply.News)
+		r.news.recordReply(relay.Host, p.News, reply.News)
 	}
 	return reply, err
 }
