--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -108,7 +108,7 @@
 	return false
 }
 
-// Summary describes a log for state dumps and metrics.
+// Summary describes a log for state dumps.
 type Summary struct {
 	Facts, Suspects, Quarantined int
 }
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -1,13 +1,17 @@
 package forward
 
 import (
+	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
 // Dump is a snapshot of the engine's statistics about targets and services, for debugging.
 type Dump struct {
 	Targets  map[model.TargetID]TargetDump
 	Services map[model.ServiceID]ServiceDump
+	// Evidence summarizes what is known of crashed and leaving targets.
+	Evidence evidence.Summary
 }
 
 // TargetDump holds this host's statistics about a target.
@@ -17,6 +21,10 @@
 	// Failing is the fraction of recent attempts that failed, from 0 to 1.
 	Failing float64
 	Avoided bool
+	// Leaving means that the target has said that it is shutting down. QuietMS is how long it still wants nothing from this
+	// host.
+	Leaving bool
+	QuietMS int64
 }
 
 // ServiceDump holds this host's statistics about a service.
@@ -31,13 +39,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	d := Dump{Targets: map[model.TargetID]TargetDump{}, Services: map[model.ServiceID]ServiceDump{}}
+	d := Dump{
+		Targets:  map[model.TargetID]TargetDump{},
+		Services: map[model.ServiceID]ServiceDump{},
+		Evidence: e.cfg.Evidence.Summary(monotime.Now()),
+	}
 	for id, t := range e.targets {
 		d.Targets[id] = TargetDump{
 			InFlight:   t.stats.InFlight(),
 			EstimateMS: float64(t.stats.Estimate(now, 0).Microseconds()) / 1000,
 			Failing:    t.stats.FailureRate(now),
 			Avoided:    t.stats.IsAvoided(now),
+			Leaving:    t.leaving,
+			QuietMS:    max(0, t.quietUntil-now).Milliseconds(),
 		}
 	}
 	for id, s := range e.services {
