forward: let the estimate of an idle target fall with that of its peers

Callers saw a target left unused for seconds after its quiet time, and the load on its peers.

Traced costs of a run that passed: the quiet target is estimated at 0.82 to 0.99 ms, its peer at 0.65 ms, whole seconds after the load has ended. Cause: without samples the estimate of a target moves towards the median of its service, which covers 10 to 20 s and so still holds the time of the load, while the estimates of its peers follow the present. The same holds for each instance that starts after a fall of the load.

Change: the estimate moves towards the lower of the median and a moving average of the latest samples, and falls in proportion when that falls. Ruled out: the quiet time itself (it had ended in the trace), attempts left in flight (0), failures (0).

--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -27,7 +27,7 @@
 	// costNoise is the random part of a target's cost, as a fraction of it. It keeps hosts that see equal costs from all
 	// choosing the same target.
 	costNoise = 0.1
-	// remotePenalty is the additional cost of a target in another data centre, as a fraction of the median latency: traffic
+	// remotePenalty is the additional cost of a target in another data centre, as a fraction of the typical latency: traffic
 	// between data centres is expensive and has a longer round trip. One more queued request at a target in the local data
 	// centre costs about as much.
 	remotePenalty = 0.2
@@ -75,7 +75,7 @@
 	if extra {
 		service.extra.Take()
 	}
-	estimate := state.stats.Estimate(now, service.latency.Median(now))
+	estimate := state.stats.Estimate(now, service.latency.Typical(now))
 	state.stats.Start(now)
 	sent := monotime.Now()
 	state.witness.Started(evidence.Attempt{Request: p.run.evidence, Sent: sent})
@@ -124,7 +124,7 @@
 func (p *picker) cheapestTarget(now time.Duration, rs *RoutingState, part *snapshot.Part, service *serviceState,
 	exclude []model.TargetID, kind scatter.Kind, limit int) (registry.Target, *targetState) {
 	e := p.engine
-	median := service.latency.Median(now)
+	typical := service.latency.Typical(now)
 	var best registry.Target
 	var bestState *targetState
 	var bestCost time.Duration
@@ -137,9 +137,9 @@
 		if !state.isWilling(now) || limit > 0 && state.stats.InFlight() >= limit {
 			continue
 		}
-		cost := state.stats.Cost(now, median, t.Slots)
+		cost := state.stats.Cost(now, typical, t.Slots)
 		if t.DataCentre != e.cfg.DataCentre {
-			cost += time.Duration(remotePenalty * float64(median))
+			cost += time.Duration(remotePenalty * float64(typical))
 		}
 		cost += time.Duration(rand.Float64() * (costNoise*float64(cost) + float64(tieNoise)))
 		if state.stats.IsAvoided(now) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -294,17 +294,17 @@
 		p.service.extra.Refund()
 	}
 	stats := &p.state.stats
-	median := p.service.latency.Median(now)
+	typical := p.service.latency.Typical(now)
 	if reply != nil && reply.Load != nil {
 		stats.RecordLoad(now, reply.Load.Running+reply.Load.Waiting, reply.Load.Slots)
 	}
 	switch {
 	case err == nil:
-		stats.RecordSuccess(now, started, median)
+		stats.RecordSuccess(now, started, typical)
 		p.service.latency.Add(now, now-started, true)
 		e.routeLatencies(r.request.Route.Name).Add(now, now-started, true)
 	case errors.Is(err, targetclient.ErrCancelled), errors.Is(err, targetclient.ErrNoReply):
-		stats.RecordAbandoned(now, started, median)
+		stats.RecordAbandoned(now, started, typical)
 		if errors.Is(err, targetclient.ErrNoReply) {
 			stats.RecordFailure(now, started)
 		}
--- a/internal/replica/latency_histogram.go
+++ b/internal/replica/latency_histogram.go
@@ -17,6 +17,9 @@
 	// minSamples is the number of samples from which a window is preferred to the previous one and yields a 95th
 	// percentile. The quantiles are recomputed once per that many samples, and after every sample of a window with fewer.
 	minSamples = 16
+	// averageWeight is the weight of a new sample in the moving average. With it the average lies within a tenth of the level
+	// after about 20 samples, and its random deviation from the level is about a fifth of that of a sample.
+	averageWeight = 0.1
 )
 
 // LatencyHistogram is a histogram of the latencies of the last one to two windows.
@@ -27,6 +30,8 @@
 	rotated                       time.Duration
 	sinceRefresh                  int
 	median, p95                   time.Duration
+	// average is the moving average of the completed attempts, 0 before the first one.
+	average time.Duration
 }
 
 // attemptTotals holds the total duration of the attempts in a window and the number of them that completed.
@@ -42,6 +47,7 @@
 	h.currentTotals.time += latency
 	if complete {
 		h.currentTotals.completed++
+		h.updateAverage(latency)
 	}
 	if h.current == nil {
 		h.current = hdrhistogram.New(1, int64(histogramMax/histogramUnit), histogramDigits)
@@ -72,6 +78,20 @@
 	return h.median
 }
 
+// Typical returns the latency of an ordinary attempt at this time: the median, or the moving average if that is lower. The median
+// follows a fall of the latency only after up to two windows. A slow target raises the average, but not the median. Typical returns
+// 0 if there are no recent samples.
+func (h *LatencyHistogram) Typical(now time.Duration) time.Duration {
+	return min(h.Median(now), h.average)
+}
+
+func (h *LatencyHistogram) updateAverage(latency time.Duration) {
+	if h.average == 0 {
+		h.average = latency
+	}
+	h.average += time.Duration(averageWeight * float64(latency-h.average))
+}
+
 // P95 returns the 95th percentile of the latency. It returns 0 if there are fewer than 16 recent samples, because the
 // percentile of a few samples would be their typical latency.
 func (h *LatencyHistogram) P95(now time.Duration) time.Duration {
--- a/internal/replica/short_term_stats.go
+++ b/internal/replica/short_term_stats.go
@@ -32,8 +32,10 @@
 // they decay within seconds, so that they follow targets that pause or become slow for a short time.
 type ShortTermStats struct {
 	inFlight
-	estimate            time.Duration
-	estimateUpdated     time.Duration
+	estimate        time.Duration
+	estimateUpdated time.Duration
+	// peersThen is the estimate for the target's peers as of estimateUpdated.
+	peersThen           time.Duration
 	consecutiveFailures int
 	// failureRate is the fraction of recent attempts that failed, as of failureRateUpdated.
 	failureRate        float64
@@ -50,8 +52,11 @@
 	s.consecutiveFailures, s.avoidUntil = 0, 0
 	s.updateFailureRate(now, 0)
 	before := s.Estimate(now, peerEstimate)
-	s.estimate = before + time.Duration(latencyWeight*float64(now-started-before))
-	s.estimateUpdated = now
+	s.setEstimate(now, before+time.Duration(latencyWeight*float64(now-started-before)), peerEstimate)
+}
+
+func (s *ShortTermStats) setEstimate(now, estimate, peerEstimate time.Duration) {
+	s.estimate, s.estimateUpdated, s.peersThen = estimate, now, peerEstimate
 }
 
 // RecordAbandoned records the end of an attempt that was given up without an answer. Its duration is a lower bound of the
@@ -59,7 +64,7 @@
 func (s *ShortTermStats) RecordAbandoned(now, started, peerEstimate time.Duration) {
 	s.Remove(started)
 	if before := s.Estimate(now, peerEstimate); now-started > before {
-		s.estimate, s.estimateUpdated = before+time.Duration(latencyWeight*float64(now-started-before)), now
+		s.setEstimate(now, before+time.Duration(latencyWeight*float64(now-started-before)), peerEstimate)
 	}
 }
 
@@ -89,13 +94,18 @@
 }
 
 // Estimate returns the expected latency of an attempt if the target is idle. peerEstimate is the estimate for the
-// target's peers.
+// target's peers, 0 if it is unknown. An estimate without new samples falls with that of the peers: a target that was as fast as they
+// were before the load fell is as fast as they are now.
 func (s *ShortTermStats) Estimate(now, peerEstimate time.Duration) time.Duration {
 	if s.estimate == 0 {
 		return peerEstimate
 	}
+	estimate := s.estimate
+	if 0 < peerEstimate && peerEstimate < s.peersThen {
+		estimate = time.Duration(float64(estimate) * float64(peerEstimate) / float64(s.peersThen))
+	}
 	decay := math.Exp2(-float64(now-s.estimateUpdated) / float64(estimateHalfLife))
-	return peerEstimate + time.Duration(decay*float64(s.estimate-peerEstimate))
+	return peerEstimate + time.Duration(decay*float64(estimate-peerEstimate))
 }
 
 // IsAvoided reports whether the target is avoided because it failed recently.
