Keep the crashes of quarantined requests in the store

Cause: what the hosts know of it lived in their memory only. Class: state without a place that lasts.

Change: internal/evidencestore writes a record under a lease that ends with the quarantine; every host reads it with the listing of the store, before it admits requests. A record is emptied when the request is answered after all; without a record nothing is written then, so ordinary crashes cost no call.

Weighed: all facts in the store (calls grow with lost attempts); copies between hosts only (nothing left after a kill of all).

--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -234,6 +234,24 @@
 	return l.batch(now, l.origin, position, func(r *record) bool { return r.own })
 }
 
+// Crashes returns the unrefuted crashes of a request, the latest first.
+func (l *Log) Crashes(now time.Duration, fingerprint uint64) []Fact {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.requests[fingerprint]
+	if h == nil {
+		return nil
+	}
+	var facts []Fact
+	for _, r := range h.crashes {
+		f := r.fact
+		f.Age = max(0, now-r.at)
+		facts = append(facts, f)
+	}
+	slices.SortFunc(facts, func(a, b Fact) int { return cmp.Compare(a.Age, b.Age) })
+	return facts
+}
+
 func (l *Log) batch(now time.Duration, origin, position uint64, include func(*record) bool) Batch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidencestore"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
 	"github.com/knapweedrouter/knapweedrouter/internal/follow"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
@@ -67,6 +68,8 @@
 	callers  *callerHandler
 	peers    *peer.FrameTransport
 	relay    *relay.Relay
+	// records keeps the evidence of quarantined requests in the store.
+	records *evidencestore.Store
 	// logDropped returns the number of log lines dropped because the buffer was full.
 	logDropped func() int64
 }
@@ -115,6 +118,8 @@
 	callers.delegate = newDelegator(logger, peers, relays, callers)
 	beliefs := newState(logger, p.Decoder, engine, relays.Fleet, facts.IsLeaving)
 	obs.markLeaving = beliefs.markLeaving
+	records := evidencestore.New(logger, s.HostID, p.Feed, facts, engine.ReportLearned)
+	obs.records = records
 	return &Gateway{
 		callers:    callers,
 		logDropped: logDropped,
@@ -128,6 +133,7 @@
 		stopper:    stopper,
 		peers:      peers,
 		relay:      relays,
+		records:    records,
 	}, nil
 }
 
@@ -161,9 +167,11 @@
 	callerServer := g.callerServer()
 	probeServer := &http.Server{Handler: g.probeHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
 	operatorServer := &http.Server{Handler: g.operatorHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
-	follower := follow.New(g.logger, g.relay, g.platform.Prefix, multiSink{g.relay, g.state})
+	// The records come before the state, which admits requests: a host that starts knows the quarantines by then.
+	follower := follow.New(g.logger, g.relay, g.platform.Prefix, multiSink{g.relay, g.records, g.state})
 	tasks.Go(func() { follower.Run(ctx) })
 	tasks.Go(func() { g.relay.Run(ctx) })
+	tasks.Go(func() { g.records.Run(ctx) })
 	tasks.Go(func() { g.servePeers(ctx) })
 	tasks.Go(func() { g.state.run(ctx) })
 	tasks.Go(func() { g.summarize(ctx) })
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidencestore"
 	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 	"github.com/knapweedrouter/knapweedrouter/internal/scatter"
@@ -33,6 +34,8 @@
 	logLimiter *rate.Limiter
 	// markLeaving takes a target out of the routing state. It is set before the first request.
 	markLeaving func(evidence.Instance)
+	// records keeps the evidence of quarantined requests; it may be nil. It is set before the first request.
+	records *evidencestore.Store
 
 	mu sync.Mutex
 	// ordinary counts the ordinary requests since the last summary. withheld counts the other requests that were not
--- a/internal/gateway/observe_targets.go
+++ b/internal/gateway/observe_targets.go
@@ -48,6 +48,7 @@
 	if d.Fingerprint == 0 {
 		return
 	}
+	o.keepRecord(d)
 	fields = append(fields, zap.String("fingerprint", strconv.FormatUint(d.Fingerprint, 16)), zap.Int("crashes", d.Judgement.Crashes))
 	switch {
 	case d.Judgement.Verdict == evidence.Quarantined:
@@ -57,3 +58,14 @@
 		o.logger.Info("lost attempt judged", fields...)
 	}
 }
+
+// keepRecord has the evidence about a request stored if this host has just quarantined it, and withdrawn if it was answered.
+func (o *observer) keepRecord(d *forward.TargetDecision) {
+	switch {
+	case o.records == nil, d.Source != "":
+	case d.Judgement.Verdict == evidence.Quarantined:
+		o.records.Save(d.Fingerprint)
+	case d.Verdict == forward.LossRefuted:
+		o.records.Withdraw(d.Fingerprint)
+	}
+}
