relay: tell one relay that a target leaves, and let relays tell each other

Cause: each host sent what it had met to all relays three times. Most hosts meet a leaving target before they are told, so the frames grew with hosts x relays: 13 data centres make 39 relays, 4,600 hosts 538,000 frames for one target (computed), beyond the control budget of a node during a fast release.

Change: a host tells the relay that it pulls from, relays pass on what a host without a slot told them. Pulls and the digests of the census carry what a lost frame held, as before. Crashes still go to all relays at once: they are few and urgent.

--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +15,8 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 )
 
-// Evidence spreads as state, in three ways that make up for each other. A host sends what it has seen to all relays at
-// once. Hosts that pull get what is new with the reply, which does not wait then, and hand over what the relay may have
+// Evidence spreads as state, in three ways that make up for each other. A host sends what it has seen of crashes to all relays at
+// once. That a target leaves is met by most hosts before they are told; each of them tells one relay, and relays tell each other. Hosts that pull get what is new with the reply, which does not wait then, and hand over what the relay may have
 // missed. Relays compare digests with each census and fetch what they lack, as does every host when it starts.
 
 const (
@@ -90,11 +91,21 @@
 	n.links[relay] = link
 }
 
-// mergeNews adds facts of another host to the evidence.
+// mergeNews adds facts of another host to the evidence. A relay passes on what a host without a slot has told it of leaving targets.
 func (r *Relay) mergeNews(from model.HostID, b evidence.Batch) {
-	if added := r.cfg.Evidence.Merge(monotime.Now(), b); len(added) > 0 && r.cfg.Learned != nil {
+	added := r.cfg.Evidence.Merge(monotime.Now(), b)
+	if len(added) == 0 {
+		return
+	}
+	if r.cfg.Learned != nil {
 		r.cfg.Learned(from, added)
 	}
+	if leaving, _ := splitLeaving(added); len(leaving) > 0 && r.IsRelay() {
+		relays := r.directory.relays(time.Now())
+		if !slices.ContainsFunc(relays, func(s slotRecord) bool { return s.Host == from }) {
+			r.sendTo(relays, leaving)
+		}
+	}
 }
 
 // newsFor returns the evidence that a pulling host may lack.
@@ -138,14 +149,14 @@
 	for ctx.Err() == nil {
 		position, changed := r.cfg.Evidence.Changed()
 		if position > sent {
-			sent = r.sendFacts(sent)
+			sent = r.sendFacts(sent, false)
 			_ = ctxtime.Sleep(ctx, spreadInterval) // the loop ends with the context
 			continue
 		}
 		select {
 		case <-changed:
 		case <-ticker.C:
-			r.sendFacts(earlier[0])
+			r.sendFacts(earlier[0], true)
 			copy(earlier[:], earlier[1:])
 			earlier[spreadRepeats-1] = sent
 		case <-ctx.Done():
@@ -153,18 +164,49 @@
 	}
 }
 
-// sendFacts sends the facts after a position that this host has seen to all relays, and returns the position that they reach.
-func (r *Relay) sendFacts(after uint64) uint64 {
+// sendFacts sends the facts after a position that this host has seen, and returns the position that they reach. Crashes and answers
+// go to all relays, what leaves to those that leavingReceivers names. A repeated call leaves out the latter: pulls carry them.
+func (r *Relay) sendFacts(after uint64, repeated bool) uint64 {
 	b := r.cfg.Evidence.OwnSince(monotime.Now(), after)
-	if len(b.Facts) == 0 {
-		return b.Position
+	leaving, others := splitLeaving(b.Facts)
+	relays := r.directory.relays(time.Now())
+	r.sendTo(relays, others)
+	if !repeated {
+		r.sendTo(r.leavingReceivers(relays), leaving)
 	}
-	for _, relay := range r.directory.relays(time.Now()) {
-		if err := r.cfg.Transport.Send(relay.Address, kindNews, newsRequest{Facts: b}); err != nil {
+	return b.Position
+}
+
+// leavingReceivers returns the relays that this host tells of leaving targets: all of them if it is one, else the first.
+func (r *Relay) leavingReceivers(relays []slotRecord) []slotRecord {
+	if r.IsRelay() {
+		return relays
+	}
+	return relays[:min(1, len(relays))]
+}
+
+// sendTo sends facts to relays. Frames may be lost.
+func (r *Relay) sendTo(relays []slotRecord, facts []evidence.Fact) {
+	if len(facts) == 0 {
+		return
+	}
+	for _, relay := range relays {
+		if err := r.cfg.Transport.Send(relay.Address, kindNews, newsRequest{Facts: evidence.Batch{Facts: facts}}); err != nil {
 			r.logger.Info("failed to send evidence", zap.String("relay", string(relay.Host)), zap.Error(err))
 		}
 	}
-	return b.Position
+}
+
+// splitLeaving divides facts into those about leaving targets and the others.
+func splitLeaving(facts []evidence.Fact) (leaving, others []evidence.Fact) {
+	for _, f := range facts {
+		if f.Kind == evidence.Leaving {
+			leaving = append(leaving, f)
+		} else {
+			others = append(others, f)
+		}
+	}
+	return leaving, others
 }
 
 // fetchFirstNews fetches the evidence of one relay, once the relays are known.
--- a/internal/relay/news_test.go
+++ b/internal/relay/news_test.go
@@ -146,6 +146,30 @@
 	})
 }
 
+// TestLeavingTargetCostsFewFrames guards the control traffic while many targets leave: most hosts meet a leaving target themselves
+// before they are told, and each of them would send to every relay.
+func TestLeavingTargetCostsFewFrames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 12)
+		defer d.end()
+		leaving := evidence.Instance{Target: "t", Incarnation: 1}
+		before := d.network.sentFrames(kindNews)
+		silent := d.withoutSlot()[0]
+		for _, h := range d.hosts {
+			if h != silent {
+				h.cfg.Evidence.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Leaving, Instance: leaving})
+			}
+		}
+		time.Sleep(spreadTime)
+		for _, h := range d.hosts {
+			require.True(t, h.cfg.Evidence.IsLeaving(leaving), h.cfg.Host)
+		}
+		relays := len(d.relays())
+		require.LessOrEqual(t, d.network.sentFrames(kindNews)-before, len(d.hosts)+2*relays*relays,
+			"one frame of each host, and one frame and one fetch between every two relays")
+	})
+}
+
 func (n *network) setDown(h *host, down bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
