Start a duty again that panics

Here a panic in a loop that runs under conc was held until the planned stop: the process went on without following the store, or without its relay slot, and ended with the panic when it was stopped. A panic in a loop started with go (relay slot, spread of evidence) ended the process at once.

The keys of the store are parsed under the same guard as the values. No mutex is left locked by a panic in a probe or in the gates. Not covered: the control loop of serve, whose state machine may be half changed then; it is held until the stop as before.

TestUnexpectedEntryIsIgnored with a key that makes the decoder panic: panics on the code before.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -225,18 +225,20 @@
 	err := e.cfg.Client.Probe(ctx, &exchange.Attempt{
 		Target: p.target.Target, Address: p.target.Address, MaxConnections: p.connections, Deadline: time.Now().Add(probeTimeout),
 	})
+	e.reportDecisions(e.recordProbe(p.state, err))
+}
+
+// recordProbe records the result of a probe.
+func (e *Engine) recordProbe(t *targetState, err error) []TargetDecision {
 	e.mu.Lock()
-	p.state.probing = false
+	defer e.mu.Unlock()
+	t.probing = false
 	e.probes--
-	var decisions []TargetDecision
 	switch {
 	case err == nil:
-		decisions = []TargetDecision{{Instance: p.state.instance(), Verdict: LossTargetAccepts}}
+		return []TargetDecision{{Instance: t.instance(), Verdict: LossTargetAccepts}}
 	case errors.Is(err, syscall.ECONNREFUSED):
-		decisions = e.recordEnd(p.state, LossTargetRefuses)
-	default:
-		decisions = []TargetDecision{{Instance: p.state.instance(), Verdict: LossTargetSilent}}
+		return e.recordEnd(t, LossTargetRefuses)
 	}
-	e.mu.Unlock()
-	e.reportDecisions(decisions)
+	return []TargetDecision{{Instance: t.instance(), Verdict: LossTargetSilent}}
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -8,6 +8,7 @@
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/registry"
@@ -92,6 +93,7 @@
 	set.NewGauge("knapweedrouter_requests_in_progress", func() float64 { return float64(g.stopper.inFlight.Load()) })
 	set.NewGauge("knapweedrouter_target_connections_opened", func() float64 { return float64(g.pool.Counters().Opened.Load()) })
 	set.NewGauge("knapweedrouter_target_connections_reused", func() float64 { return float64(g.pool.Counters().Reused.Load()) })
+	set.NewGauge("knapweedrouter_duty_failures", func() float64 { return float64(duty.Failures()) })
 	set.NewGauge("knapweedrouter_log_lines_dropped", func() float64 { return float64(g.logDropped()) })
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/evidencestore"
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
@@ -169,13 +170,17 @@
 	operatorServer := &http.Server{Handler: g.operatorHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
 	// The records come before the state, which admits requests: a host that starts knows the quarantines by then.
 	follower := follow.New(g.logger, g.relay, g.platform.Prefix, multiSink{g.relay, g.records, g.state})
-	tasks.Go(func() { follower.Run(ctx) })
-	tasks.Go(func() { g.relay.Run(ctx) })
-	tasks.Go(func() { g.records.Run(ctx) })
-	tasks.Go(func() { g.servePeers(ctx) })
-	tasks.Go(func() { g.state.run(ctx) })
-	tasks.Go(func() { g.summarize(ctx) })
-	tasks.Go(func() { g.reload(ctx, reload.Signalled, reload.Load) })
+	for name, body := range map[string]func(context.Context){
+		"follow the store":     follower.Run,
+		"relay":                g.relay.Run,
+		"store evidence":       g.records.Run,
+		"serve peers":          g.servePeers,
+		"expire registrations": g.state.run,
+		"summarize":            g.summarize,
+		"reload":               func(ctx context.Context) { g.reload(ctx, reload.Signalled, reload.Load) },
+	} {
+		tasks.Go(func() { duty.Run(ctx, g.logger, name, body) })
+	}
 	tasks.Go(func() { g.serve(probeServer, probes) })
 	tasks.Go(func() { g.serve(operatorServer, operators) })
 	tasks.Go(func() {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -87,7 +87,7 @@
 	targets := map[model.TargetID]bool{}
 	s.out = map[model.DataCentreID]bool{}
 	for _, entry := range entries {
-		if key := s.decoder.ParseKey(entry.Key); key.Kind == KeyTarget {
+		if key := s.parseKey(entry); key.Kind == KeyTarget {
 			targets[key.Target] = true
 		}
 		s.putEntry(entry)
@@ -131,14 +131,26 @@
 	s.registry.SourceRegained(monotime.Now())
 }
 
-// putEntry takes over an entry of the store. An entry that makes its decoder panic is ignored: it must not end the process,
-// which would meet it again at every start.
+// putEntry takes over an entry of the store.
 func (s *state) putEntry(entry store.Entry) {
-	if recovered := panics.Try(func() { s.decodeEntry(entry) }); recovered != nil {
+	s.guard(entry, func() { s.decodeEntry(entry) })
+}
+
+// guard calls f. An entry that makes its decoder panic is ignored: it must not end the process, which would meet it again at every
+// start, nor the following of the store.
+func (s *state) guard(entry store.Entry, f func()) {
+	if recovered := panics.Try(f); recovered != nil {
 		s.logger.Error("entry ignored after an unexpected error", zap.String("key", entry.Key), revision(entry), zap.Error(recovered.AsError()))
 	}
 }
 
+// parseKey returns the parsed key of an entry, and that of an entry which does not concern the host if the decoder panics.
+func (s *state) parseKey(entry store.Entry) StoreKey {
+	var key StoreKey
+	s.guard(entry, func() { key = s.decoder.ParseKey(entry.Key) })
+	return key
+}
+
 func (s *state) decodeEntry(entry store.Entry) {
 	key := s.decoder.ParseKey(entry.Key)
 	switch key.Kind {
@@ -205,7 +217,7 @@
 }
 
 func (s *state) removeEntry(change store.Change) {
-	key := s.decoder.ParseKey(change.Key)
+	key := s.parseKey(change.Entry)
 	switch key.Kind {
 	case KeyTarget:
 		s.deleteTarget(key.Target, change.Revision)
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -16,10 +16,13 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
-// panickingDecoder takes the key of an entry for a target and panics on the value "panic".
+// panickingDecoder takes the key of an entry for a target and panics on the value "panic" and on the key "panic".
 type panickingDecoder struct{}
 
 func (panickingDecoder) ParseKey(key string) StoreKey {
+	if key == "panic" {
+		panic("unexpected")
+	}
 	return StoreKey{Kind: KeyTarget, Target: model.TargetID(key)}
 }
 
@@ -40,4 +43,8 @@
 	require.Len(t, s.registry.Targets(), 2)
 	s.Apply([]store.Change{{Entry: store.Entry{Key: "d", Value: []byte("panic")}}, {Entry: store.Entry{Key: "e"}}})
 	require.Len(t, s.registry.Targets(), 3)
+	s.Apply([]store.Change{{Entry: store.Entry{Key: "panic"}}, {Entry: store.Entry{Key: "panic"}, Removed: true}, {Entry: store.Entry{Key: "f"}}})
+	require.Len(t, s.registry.Targets(), 4)
+	s.Reset([]store.Entry{{Key: "panic"}, {Key: "g"}})
+	require.True(t, s.registry.Targets()[len(s.registry.Targets())-1].Target == "g")
 }
--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
@@ -249,11 +250,16 @@
 	}
 	go func() {
 		defer r.fetching.Store(false)
-		for _, relay := range r.directory.relays(time.Now()) {
-			if relay.Host == host {
-				_ = r.fetchNews(context.Background(), relay) // it is logged; the next census starts another fetch
-				return
-			}
-		}
+		_ = duty.Try(r.logger, "compare evidence", func() { r.fetchNewsOf(host) }) // it is logged
 	}()
 }
+
+// fetchNewsOf exchanges evidence with a relay, if the host is one.
+func (r *Relay) fetchNewsOf(host model.HostID) {
+	for _, relay := range r.directory.relays(time.Now()) {
+		if relay.Host == host {
+			_ = r.fetchNews(context.Background(), relay) // it is logged; the next census starts another fetch
+			return
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
@@ -139,9 +140,9 @@
 
 // Run maintains the slot, spreads evidence and sends host counts to the other relays until the context ends.
 func (r *Relay) Run(ctx context.Context) {
-	go r.slot.run(ctx)
-	go r.fetchFirstNews(ctx)
-	go r.spreadNews(ctx)
+	go duty.Run(ctx, r.logger, "relay slot", r.slot.run)
+	go duty.Run(ctx, r.logger, "fetch evidence", r.fetchFirstNews)
+	go duty.Run(ctx, r.logger, "spread evidence", r.spreadNews)
 	for ctxtime.Sleep(ctx, censusInterval) == nil {
 		r.sendCensus()
 	}
--- a/internal/relay/slot.go
+++ b/internal/relay/slot.go
@@ -41,7 +41,8 @@
 	held   atomic.Bool
 	listed atomic.Bool
 	// ready is closed once the relays are known and this host has tried to reclaim its previous slot.
-	ready chan struct{}
+	ready     chan struct{}
+	readyOnce sync.Once
 
 	mu    sync.Mutex // guards key and lease, which markLeaving reads
 	key   string
@@ -65,11 +66,11 @@
 	for first := true; ctx.Err() == nil; first = false {
 		_, hasSlot := k.directory.ownSlot()
 		if first && !hasSlot {
-			close(k.ready)
+			k.markReady()
 		}
 		pause, err := k.step(ctx)
 		if first && hasSlot {
-			close(k.ready)
+			k.markReady()
 		}
 		if err != nil && ctx.Err() == nil {
 			k.logger.Warn("relay slot not kept", zap.String("slot", k.key), zap.Error(err))
@@ -79,6 +80,8 @@
 	}
 }
 
+func (k *slotKeeper) markReady() { k.readyOnce.Do(func() { close(k.ready) }) }
+
 // listSlots lists the relays. The result may be seconds old. A host that held a slot before a restart finds it here and
 // reclaims it.
 func (k *slotKeeper) listSlots(ctx context.Context) {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
@@ -33,8 +35,13 @@
 	defer cancel()
 	results := make(chan changesResult, 1)
 	go func() {
-		changes, revision, err := r.cfg.Feed.Changes(ctx, prefix, after, wait)
-		results <- changesResult{changes, revision, err}
+		var got changesResult
+		if err := duty.Try(r.logger, "wait for changes", func() {
+			got.changes, got.revision, got.err = r.cfg.Feed.Changes(ctx, prefix, after, wait)
+		}); err != nil {
+			got = changesResult{err: fmt.Errorf("%w: %w", store.ErrUnavailable, err)}
+		}
+		results <- got
 	}()
 	// The timer runs from the start of the call and, once it has fired, from the next announcement. It is not restarted by
 	// announcements while it runs, so that frequent ones do not delay it.
--- a/internal/server/gate_wiring.go
+++ b/internal/server/gate_wiring.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/gate"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 )
@@ -29,8 +30,8 @@
 
 // startGates starts the background tasks of the gates. They run until the context ends.
 func (s *Server) startGates(ctx context.Context, tasks *conc.WaitGroup) {
-	tasks.Go(func() { s.gates.run(ctx) })
-	tasks.Go(func() { s.gates.fetchEvidence(ctx) })
+	tasks.Go(func() { duty.Run(ctx, s.logger, "gates", s.gates.run) })
+	tasks.Go(func() { duty.Run(ctx, s.logger, "fetch evidence", s.gates.fetchEvidence) })
 }
 
 // targetGate returns the gate of targets, or nil if the server can't start because the setup failed.
--- a/internal/server/gates.go
+++ b/internal/server/gates.go
@@ -106,15 +106,20 @@
 
 // update runs step under the mutex with the current configuration, and then sends the messages that it queued.
 func (g *gates) update(step func(now time.Duration)) {
+	out, addresses := g.updateLocked(step)
+	g.deliver(out, addresses)
+}
+
+// updateLocked runs step under the mutex and returns the messages that it queued, and where hosts are.
+func (g *gates) updateLocked(step func(now time.Duration)) (out outbox, addresses map[model.HostID]string) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := g.now()
 	g.refresh(now)
 	step(now)
-	out := g.outbox
+	out = g.outbox
 	g.outbox = outbox{}
-	addresses := g.addresses
-	g.mu.Unlock()
-	g.deliver(out, addresses)
+	return out, g.addresses
 }
 
 // refresh reads the catalogue, the fenced state and the fleet table from the control view. It reads the fenced state first,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/callerapi"
+	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/execute"
 	"github.com/knapweedrouter/knapweedrouter/internal/hostlist"
 	"github.com/knapweedrouter/knapweedrouter/internal/inventory"
@@ -155,9 +156,15 @@
 func (s *Server) startTasks(ctx context.Context, tasks *conc.WaitGroup, peers net.Listener, operators operatorListener) {
 	s.startFleet(ctx, tasks, peers)
 	s.startGates(ctx, tasks)
-	tasks.Go(func() { s.pollStatuses(ctx) })
-	tasks.Go(func() { s.admitter.run(ctx) })
-	tasks.Go(func() { s.guard.fetchSnapshots(ctx, s.fleet.transport, s.fleet.control.Members) })
-	tasks.Go(func() { s.watchOut(ctx, s.executor, s.fleet.control) })
+	for name, body := range map[string]func(context.Context){
+		"poll targets":      s.pollStatuses,
+		"expire admissions": s.admitter.run,
+		"fetch quarantines": func(ctx context.Context) {
+			s.guard.fetchSnapshots(ctx, s.fleet.transport, s.fleet.control.Members)
+		},
+		"out of service": func(ctx context.Context) { s.watchOut(ctx, s.executor, s.fleet.control) },
+	} {
+		tasks.Go(func() { duty.Run(ctx, s.logger, name, body) })
+	}
 	tasks.Go(func() { s.serveOperators(ctx, operators) })
 }
