evidencestore: let an answer refute a record that is read later

Found on reading the change again. The ages in a record count from the reading, so the crashes of a record that was on its way while a target answered the request seemed to be later than the answer, and the request was refused for two minutes by hosts that knew the answer. A host that knows of an answer ignores the record now, and the one that got the answer has it emptied.

TestAnswerRefutesALaterRecord: quarantined before, unsuspected after.

--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -217,6 +217,14 @@
 	return l.records[factKey{kind: Leaving, instance: i}] != nil
 }
 
+// IsAnswered reports whether an answer to the request is known.
+func (l *Log) IsAnswered(fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.requests[fingerprint]
+	return h != nil && h.answered != nil
+}
+
 // Digest returns a hash of the known facts, which is equal for logs with the same facts.
 func (l *Log) Digest() uint64 {
 	l.mu.Lock()
--- a/internal/evidencestore/evidencestore.go
+++ b/internal/evidencestore/evidencestore.go
@@ -24,6 +24,8 @@
 	// longest lease that the platform grants.
 	minLifetime = time.Second
 	maxLifetime = 10 * time.Minute
+	// maxAnswered bounds the answered requests that are remembered.
+	maxAnswered = 256
 	// maxPending bounds the requests whose records are to be written. Further ones are left to the hosts' own memory.
 	maxPending = 64
 	// callTimeout bounds the calls for one record, and retryInterval is the pause after a failed one.
@@ -48,6 +50,8 @@
 	queued  map[uint64]bool
 	// recorded holds the requests with crashes in the store.
 	recorded map[uint64]bool
+	// answered holds requests that were answered here and had no record. One may be on its way.
+	answered map[uint64]bool
 }
 
 // New returns a Store for the evidence in log. learned is called with the facts of another host that were new.
@@ -55,6 +59,7 @@
 	return &Store{
 		logger: logger, host: host, feed: feed, log: log, learned: learned,
 		pending: make(chan uint64, maxPending), queued: map[uint64]bool{}, recorded: map[uint64]bool{},
+		answered: map[uint64]bool{},
 	}
 }
 
@@ -65,13 +70,18 @@
 	s.enqueue(fingerprint)
 }
 
-// Withdraw has the record of a request that was answered emptied, if there is one. It does not block.
+// Withdraw has the record of a request that was answered emptied, if there is one or one is seen later. It does not block.
 func (s *Store) Withdraw(fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.recorded[fingerprint] {
 		s.enqueue(fingerprint)
+		return
+	}
+	if len(s.answered) >= maxAnswered {
+		clear(s.answered) // their records then last until their leases end
 	}
+	s.answered[fingerprint] = true
 }
 
 // enqueue has the evidence about a request written. The caller holds s.mu.
@@ -193,7 +203,21 @@
 		return
 	}
 	s.setRecorded(fingerprint, len(facts) > 0)
+	if s.log.IsAnswered(fingerprint) {
+		s.withdrawAnswered(fingerprint)
+		return // its crashes may be earlier than the answer
+	}
 	if added := s.log.Merge(monotime.Now(), evidence.Batch{Facts: facts}); len(added) > 0 {
 		s.learned(from, added)
 	}
 }
+
+// withdrawAnswered has a record emptied if this host has seen the answer.
+func (s *Store) withdrawAnswered(fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.recorded[fingerprint] && s.answered[fingerprint] {
+		delete(s.answered, fingerprint)
+		s.enqueue(fingerprint)
+	}
+}
--- a/internal/evidencestore/evidencestore_test.go
+++ b/internal/evidencestore/evidencestore_test.go
@@ -140,6 +140,27 @@
 	})
 }
 
+// TestAnswerRefutesALaterRecord guards against refusing a request that was answered while the record of its crashes was on its way:
+// the ages in a record are counted from the reading, so its crashes seem to be later than the answer.
+func TestAnswerRefutesALaterRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &fakeFeed{entries: map[string]store.Entry{}}
+		first, second := startHost(t, feed, "a"), startHost(t, feed, "bb")
+		first.crash(7, 3)
+		second.log.Merge(monotime.Now(), first.log.Since(monotime.Now(), 0, 0))
+		first.Save(7)
+		second.log.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Answered, Fingerprint: 7})
+		second.Withdraw(7)
+		time.Sleep(time.Second)
+		second.Apply([]store.Change{{Entry: feed.list()[0]}})
+		require.Equal(t, evidence.Unsuspected, second.verdict(7))
+		time.Sleep(time.Second)
+		third := startHost(t, feed, "ccc")
+		third.Reset(feed.list())
+		require.Equal(t, evidence.Unsuspected, third.verdict(7), "the record is still there")
+	})
+}
+
 // TestMalformedRecordsAreIgnored guards against a process that ends, or a request that is refused, because of what another writer
 // has put there.
 func TestMalformedRecordsAreIgnored(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -126,6 +126,36 @@
 	})
 }
 
+// TestHostStartingBesideHangingRelayLearnsRemovals guards against a target that has left and is used again by a host that was
+// restarted, because the relay that it lists from is behind: its calls to the store hang.
+func TestHostStartingBesideHangingRelayLearnsRemovals(t *testing.T) {
+	const stableWindow = 4 * time.Second // of the rule DRAIN: a host is excused for as long after its start
+	for victims := 1; victims <= 2; victims++ {
+		synctest.Test(t, func(t *testing.T) {
+			d := deploy(t, 8)
+			defer d.end()
+			d.store.put("target", "ready")
+			time.Sleep(2 * time.Second)
+			d.store.mu.Lock()
+			for _, victim := range d.relays()[:victims] {
+				d.store.hangs[victim.cfg.Host] = true
+			}
+			d.store.set("target", nil, true)
+			d.store.mu.Unlock()
+			for _, former := range d.withoutSlot() {
+				d.kill(former)
+				d.start(string(former.cfg.Host), string(former.cfg.DataCentre), former.cfg.Large)
+			}
+			time.Sleep(stableWindow)
+			for _, h := range d.hosts {
+				if !h.transport.down {
+					require.Empty(t, h.value("target"), h.cfg.Host)
+				}
+			}
+		})
+	}
+}
+
 // TestHostWithoutAnyRelayFollowsTheStore guards against hosts that get no data after all relays were killed at once.
 func TestHostWithoutAnyRelayFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
