evidence: five ends of one target quarantine a request, too

Cause: ends of one target never sufficed, because a target may crash whatever it is sent and would condemn the requests that it gets. That is a reason for more evidence, not for none: five ends of one target quarantine now, two more than of several targets, which keeps within the three retries of the rule. Any answer to the request still refutes all of them, and four ends of one target still condemn nothing (TestOneCrashingTargetCondemnsNoRequest, unchanged).

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -76,6 +76,14 @@
 	require.Equal(t, Suspect, l.Judge(now, 1).Verdict)
 }
 
+// TestRequestThatCrashesOneTargetAgainAndAgain guards against sparing a request for good that crashes the only target of its service.
+func TestRequestThatCrashesOneTargetAgainAndAgain(t *testing.T) {
+	l, now := observed(crash(1, "a", 1), crash(1, "a", 2), crash(1, "a", 3), crash(1, "a", 4), crash(1, "a", 5))
+	require.Equal(t, Judgement{Verdict: Quarantined, Crashes: 5, Left: firstQuarantine}, l.Judge(now, 1))
+	l.Observe(now, answer(1))
+	require.Equal(t, Unsuspected, l.Judge(now, 1).Verdict)
+}
+
 // TestRequestBesideTheCrashingOneIsSpared guards against refusing a proper request that shared its targets with one that
 // crashes them.
 func TestRequestBesideTheCrashingOneIsSpared(t *testing.T) {
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -11,9 +11,9 @@
 const (
 	// crashLimit is the weight of the crashes from which a request is refused.
 	crashLimit = 3
-	// minTargets is the number of targets that must have ended under a request before it is refused. A target that crashes
-	// regardless of what it is sent would otherwise condemn the requests that it gets.
-	minTargets = 2
+	// oneTargetLimit is that weight if all crashes are of one target, which may crash regardless of what it is sent. It lies two
+	// above crashLimit: a request may reach targets three times more after the third crash.
+	oneTargetLimit = 5
 	// coincidence is the span within which crashes together weigh at most maxCoincident. Targets that end together, with a
 	// rack or a switch, end under every request that was sent to them all.
 	coincidence   = 300 * time.Millisecond
@@ -55,10 +55,14 @@
 	}
 	j := Judgement{Verdict: Suspect, Crashes: len(h.crashes)}
 	weight, targets, latest := l.weigh(h)
-	if weight < crashLimit || targets < minTargets {
+	limit := crashLimit
+	if targets < 2 {
+		limit = oneTargetLimit
+	}
+	if weight < limit {
 		return j
 	}
-	if until := latest + firstQuarantine<<min(weight-crashLimit, maxDoublings); now < until {
+	if until := latest + firstQuarantine<<min(weight-limit, maxDoublings); now < until {
 		j.Verdict, j.Left = Quarantined, until-now
 	}
 	return j
