Store a quarantine that facts of several hosts complete

Found on reading the change again: a record was written by the host that saw the completing crash itself. If two hosts saw crashes at about the same time, each of them learned of the quarantine from the other, and nobody wrote it. A host that has seen a crash of the request writes the record now when it learns of the quarantine and knows no record.

Relay.Run starts its loops as duties of its own and waits for them; as one duty, a panic in the census would have started the slot keeper twice.

TestQuarantineByFactsOfSeveralHostsIsStored covers the new command (there was none before).

--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -217,6 +217,22 @@
 	return l.records[factKey{kind: Leaving, instance: i}] != nil
 }
 
+// HasOwnCrash reports whether this host has seen an unrefuted crash of the request itself.
+func (l *Log) HasOwnCrash(fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.requests[fingerprint]
+	if h == nil {
+		return false
+	}
+	for _, r := range h.crashes {
+		if r.own {
+			return true
+		}
+	}
+	return false
+}
+
 // IsAnswered reports whether an answer to the request is known.
 func (l *Log) IsAnswered(fingerprint uint64) bool {
 	l.mu.Lock()
--- a/internal/evidencestore/evidencestore.go
+++ b/internal/evidencestore/evidencestore.go
@@ -70,6 +70,19 @@
 	s.enqueue(fingerprint)
 }
 
+// SaveLearned has the crashes of a request written that others have found to complete its quarantine, if this host has seen one of
+// them and knows no record. It does not block.
+func (s *Store) SaveLearned(fingerprint uint64) {
+	if !s.log.HasOwnCrash(fingerprint) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.recorded[fingerprint] {
+		s.enqueue(fingerprint)
+	}
+}
+
 // Withdraw has the record of a request that was answered emptied, if there is one or one is seen later. It does not block.
 func (s *Store) Withdraw(fingerprint uint64) {
 	s.mu.Lock()
--- a/internal/evidencestore/evidencestore_test.go
+++ b/internal/evidencestore/evidencestore_test.go
@@ -117,6 +117,34 @@
 	})
 }
 
+// TestQuarantineByFactsOfSeveralHostsIsStored guards against a quarantine without a record, because no host has seen the crash that
+// completes it itself: crashes at several hosts became known to each other later.
+func TestQuarantineByFactsOfSeveralHostsIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &fakeFeed{entries: map[string]store.Entry{}}
+		first, second, third := startHost(t, feed, "a"), startHost(t, feed, "bb"), startHost(t, feed, "ccc")
+		first.crash(7, 2)
+		time.Sleep(time.Second)
+		second.log.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Crashed, Fingerprint: 7, Instance: evidence.Instance{Target: "u"}})
+		for _, h := range []*host{first, third} {
+			for _, other := range []*host{first, second} {
+				h.log.Merge(monotime.Now(), other.log.Since(monotime.Now(), 0, 0))
+			}
+			require.Equal(t, evidence.Quarantined, h.verdict(7))
+		}
+		third.SaveLearned(7)
+		time.Sleep(time.Second)
+		require.Zero(t, feed.calls, "a host that has seen none of the crashes writes no record")
+		first.SaveLearned(7)
+		time.Sleep(time.Second)
+		require.Len(t, feed.list(), 1)
+		calls := feed.calls
+		first.SaveLearned(7)
+		time.Sleep(time.Second)
+		require.Equal(t, calls, feed.calls, "there is a record already")
+	})
+}
+
 // TestAnsweredRequestIsWithdrawn guards against a record that has hosts refuse a request which was answered in the meantime, and
 // against a write for each request that is answered.
 func TestAnsweredRequestIsWithdrawn(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,9 +170,9 @@
 	operatorServer := &http.Server{Handler: g.operatorHandler(), ReadTimeout: probeTimeout, MaxHeaderBytes: maxHeaderBytes}
 	// The records come before the state, which admits requests: a host that starts knows the quarantines by then.
 	follower := follow.New(g.logger, g.relay, g.platform.Prefix, multiSink{g.relay, g.records, g.state})
+	tasks.Go(func() { g.relay.Run(ctx) })
 	for name, body := range map[string]func(context.Context){
 		"follow the store":     follower.Run,
-		"relay":                g.relay.Run,
 		"store evidence":       g.records.Run,
 		"serve peers":          g.servePeers,
 		"expire registrations": g.state.run,
--- a/internal/gateway/observe_targets.go
+++ b/internal/gateway/observe_targets.go
@@ -59,12 +59,16 @@
 	}
 }
 
-// keepRecord has the evidence about a request stored if this host has just quarantined it, and withdrawn if it was answered.
+// keepRecord has the evidence about a request stored if it has just been quarantined, and withdrawn if it was answered.
 func (o *observer) keepRecord(d *forward.TargetDecision) {
+	quarantined, own := d.Judgement.Verdict == evidence.Quarantined, d.Source == ""
 	switch {
-	case o.records == nil, d.Source != "":
-	case d.Judgement.Verdict == evidence.Quarantined:
+	case o.records == nil:
+	case quarantined && own:
 		o.records.Save(d.Fingerprint)
+	case quarantined:
+		o.records.SaveLearned(d.Fingerprint)
+	case !own:
 	case d.Verdict == forward.LossRefuted:
 		o.records.Withdraw(d.Fingerprint)
 	}
--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -17,8 +17,9 @@
 )
 
 // Evidence spreads as state, in three ways that make up for each other. A host sends what it has seen of crashes to all relays at
-// once. That a target leaves is met by most hosts before they are told; each of them tells one relay, and relays tell each other. Hosts that pull get what is new with the reply, which does not wait then, and hand over what the relay may have
-// missed. Relays compare digests with each census and fetch what they lack, as does every host when it starts.
+// once. That a target leaves is met by most hosts before they are told; each of them tells one relay, and relays tell each other.
+// Hosts that pull get what is new with the reply, which does not wait then, and hand over what the relay may have missed. Relays
+// compare digests with each census and fetch what they lack, as does every host when it starts.
 
 const (
 	// spreadInterval is the pause after facts were sent, so that facts in quick succession share a frame.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
@@ -140,9 +141,19 @@
 
 // Run maintains the slot, spreads evidence and sends host counts to the other relays until the context ends.
 func (r *Relay) Run(ctx context.Context) {
-	go duty.Run(ctx, r.logger, "relay slot", r.slot.run)
-	go duty.Run(ctx, r.logger, "fetch evidence", r.fetchFirstNews)
-	go duty.Run(ctx, r.logger, "spread evidence", r.spreadNews)
+	var duties conc.WaitGroup
+	for name, body := range map[string]func(context.Context){
+		"relay slot":      r.slot.run,
+		"fetch evidence":  r.fetchFirstNews,
+		"spread evidence": r.spreadNews,
+		"census":          r.sendCensuses,
+	} {
+		duties.Go(func() { duty.Run(ctx, r.logger, name, body) })
+	}
+	duties.Wait()
+}
+
+func (r *Relay) sendCensuses(ctx context.Context) {
 	for ctxtime.Sleep(ctx, censusInterval) == nil {
 		r.sendCensus()
 	}
