--- a/internal/forward/willing_test.go
+++ b/internal/forward/willing_test.go
@@ -64,3 +64,39 @@
 		require.Greater(t, again, 30, "of about 400 requests to three targets after the quiet time")
 	})
 }
+
+// TestHostsDoNotComeBackTogether guards against a herd at a target that has told many hosts the same time.
+func TestHostsDoNotComeBackTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, span, quiet = 40, 20 * ms, 2 * time.Second
+		start := time.Now()
+		first := make([]time.Duration, hosts)
+		for i := range hosts {
+			f := &fakeClient{respond: func(a *exchange.Attempt) (time.Duration, error) {
+				if a.Target == "single-0" && first[i] == 0 && time.Since(start) >= quiet {
+					first[i] = time.Since(start)
+				}
+				return ms, nil
+			}}
+			c := &quietClient{fakeClient: f, target: "single-0", from: start, until: start.Add(quiet)}
+			e, table := newEngine(t, c, hosts, 0, singleRoute(true))
+			go func() {
+				for n := 0; time.Since(start) < 2*quiet; n++ {
+					e.Do(t.Context(), newRequest(fmt.Sprint(i, "-", n), &table.Routes[0]))
+					time.Sleep(ms)
+				}
+			}()
+		}
+		time.Sleep(3 * quiet)
+		for _, at := range first {
+			require.NotZero(t, at)
+			together := 0
+			for _, other := range first {
+				if at <= other && other < at+span {
+					together++
+				}
+			}
+			require.Less(t, together, hosts/2, "%d of %d hosts came back within %v: %v", together, hosts, span, first)
+		}
+	})
+}
