evidence: ends that requests share condemn none of them at the only target

TestOnlyServerOfAServiceIsSpared/refuses: 3 of 40 proper requests refused as crashing. Cause: with one server, proper requests to four paths are there at most of its ends and were never answered in between; the request that crashes it had no more ends than they, and a tie counted against both. Ends of one target count now only against a request with more of them than every other one there; until one has more, nothing tells them apart. TestRequestsToOneTargetShareItsEnds fails before (both quarantined at the fifth end).

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -84,6 +84,24 @@
 	require.Equal(t, Unsuspected, l.Judge(now, 1).Verdict)
 }
 
+// TestRequestsToOneTargetShareItsEnds guards against refusing a popular request that was at the only target of its service each time
+// when another request crashed it.
+func TestRequestsToOneTargetShareItsEnds(t *testing.T) {
+	l, now := NewLog(1), time.Duration(0)
+	for i := 1; i <= 6; i++ {
+		now += second
+		l.Observe(now, crash(1, "a", i))
+		if i <= 5 {
+			l.Observe(now, crash(2, "a", i))
+		}
+		if i == 5 {
+			require.Equal(t, Suspect, l.Judge(now, 1).Verdict, "nothing tells the two apart yet")
+		}
+	}
+	require.Equal(t, Quarantined, l.Judge(now, 1).Verdict)
+	require.Equal(t, Suspect, l.Judge(now, 2).Verdict)
+}
+
 // TestRequestBesideTheCrashingOneIsSpared guards against refusing a proper request that shared its targets with one that
 // crashes them.
 func TestRequestBesideTheCrashingOneIsSpared(t *testing.T) {
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -12,7 +12,8 @@
 	// crashLimit is the weight of the crashes from which a request is refused.
 	crashLimit = 3
 	// oneTargetLimit is that weight if all crashes are of one target, which may crash regardless of what it is sent. It lies two
-	// above crashLimit: a request may reach targets three times more after the third crash.
+	// above crashLimit: a request may reach targets three times more after the third crash. Only crashes count then under which
+	// no other request has as many: the requests to a target that is the only one of its service share most of its ends.
 	oneTargetLimit = 5
 	// coincidence is the span within which crashes together weigh at most maxCoincident. Targets that end together, with a
 	// rack or a switch, end under every request that was sent to them all.
@@ -82,8 +83,12 @@
 	latest = math.MinInt64
 	var times []time.Duration
 	seen := map[model.TargetID]bool{}
+	explaining := len(h.crashes) + 1
+	if isOneTarget(h) {
+		explaining--
+	}
 	for instance, r := range h.crashes {
-		if l.isExplained(instance, len(h.crashes)) {
+		if l.isExplained(instance, h, explaining) {
 			continue
 		}
 		times = append(times, r.at)
@@ -101,17 +106,31 @@
 	return weight, len(seen), latest
 }
 
-// isExplained reports whether the end of an instance counts against another request that was there, because more
-// instances ended under that one. Requests that only share targets with the one that crashes them are spared by this.
-func (l *Log) isExplained(instance Instance, crashes int) bool {
+// isExplained reports whether the end of an instance counts against another request that was there, because at least the given
+// number of instances ended under that one. Requests that only share targets with the one that crashes them are spared by this.
+func (l *Log) isExplained(instance Instance, h *history, crashes int) bool {
 	for fingerprint := range l.witnesses[instance] {
-		if len(l.requests[fingerprint].crashes) > crashes {
+		if other := l.requests[fingerprint]; other != h && len(other.crashes) >= crashes {
 			return true
 		}
 	}
 	return false
 }
 
+// isOneTarget reports whether all crashes of a request are of one target.
+func isOneTarget(h *history) bool {
+	var first model.TargetID
+	for instance := range h.crashes {
+		if first == "" {
+			first = instance.Target
+		}
+		if instance.Target != first {
+			return false
+		}
+	}
+	return true
+}
+
 // Summary describes a log for state dumps.
 type Summary struct {
 	Facts, Suspects, Quarantined int
