gateway: keep SIGHUP caught while a planned stop goes on

Cause: the goroutine that turns SIGHUP into reloads ended with SIGTERM and gave the signal back, so that a settings file which changed during the stop ended the process at once. Evidence: the log of the host ends with "planned stop: not ready", the settings of six machines change at that time, and no panic is logged. serve did not catch SIGHUP at all; it ignores it now.

TestHangupDuringPlannedStopCutsNothing: the request is cut before, answered whole after (two runs).

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -62,12 +62,12 @@
 }
 
 // notifyHangup returns a channel that receives a value for each SIGHUP until the context is done. Signals that arrive
-// before the previous one has been received are coalesced.
+// before the previous one has been received are coalesced. The signal stays caught after the context is done: its default action
+// would end the process in the middle of a planned stop.
 func notifyHangup(ctx context.Context) <-chan struct{} {
 	signals, hangups := make(chan os.Signal, 1), make(chan struct{}, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-signals:
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGHUP) // its default action would end the process without a planned stop
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return server.New(logger, s, server.NewPorts(s)).Run(ctx)
