--- a/internal/evidencestore/evidencestore.go
+++ b/internal/evidencestore/evidencestore.go
@@ -1,8 +1,8 @@
 // Package evidencestore keeps the crashes of quarantined requests in the platform's store, so that they outlive the hosts.
 //
 // The load that it answers: all hosts are killed at the same moment, and with them the evidence that they hold for each other.
-// A caller then sends the request that crashes targets again. Only quarantines are written, by the host that has seen the
-// latest crash itself: a few calls for each quarantine, however many hosts there are.
+// A caller then sends the request that crashes targets again. Only quarantines are written, by hosts that have seen one
+// of the crashes themselves: a few calls for each quarantine, however many hosts there are.
 package evidencestore
 
 import (
