evidence: blame the end of a silent target on the request that was there first

Cause: a target that falls silent stays registered for seconds, and whatever is sent to it in that time gets no answer. A popular request is then at more ends than the one that caused them, so that it was refused, and the crashes of the other counted as explained by it.

Change: an end counts for the request that was sent there first, or within 0.5 s of it. An end is explained by another request with more first places, or with as many and an earlier one at that target. Hosts correct the time of a crash if another host saw it earlier, since the same request may have been sent to a target that had ended before.

Both new tests fail on the code before.

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -110,6 +110,45 @@
 	require.Equal(t, Suspect, l.Judge(now, 2).Verdict)
 }
 
+// sent returns a crash of a request that was sent to the instance a given time ago.
+func sent(f Fact, age time.Duration) Fact {
+	f.Age = age
+	return f
+}
+
+// TestPopularRequestsAtSilentTargetsAreSpared guards against refusing popular requests that were sent to targets after another request had
+// ended them, and against sparing that one because they were at more targets.
+func TestPopularRequestsAtSilentTargetsAreSpared(t *testing.T) {
+	l, now := NewLog(1), 10*second
+	for i := range 4 {
+		target := fmt.Sprint("t", i)
+		for popular := range uint64(3) {
+			l.Observe(now, sent(crash(2+popular, target, 1), 2*second+time.Duration(popular)*100*time.Millisecond))
+		}
+		l.Observe(now, sent(crash(1, target, 1), 3*second))
+		now += second
+	}
+	for i := range 4 { // targets at which only the popular requests are known
+		l.Observe(now, crash(2, fmt.Sprint("u", i/2), i))
+		l.Observe(now, crash(3, fmt.Sprint("u", i/2), i))
+	}
+	require.Equal(t, Quarantined, l.Judge(now, 1).Verdict)
+	for popular := range uint64(3) {
+		require.Equal(t, Suspect, l.Judge(now, 2+popular).Verdict)
+	}
+}
+
+// TestEarlierTimeOfACrashIsTakenOver guards against a crash that seems to follow those of other requests, because the first host to
+// tell of it had sent the request to a target which had already ended.
+func TestEarlierTimeOfACrashIsTakenOver(t *testing.T) {
+	l, now := observed(sent(crash(1, "a", 1), 0), sent(crash(2, "a", 1), second))
+	position, _ := l.Changed()
+	require.True(t, l.Observe(now, sent(crash(1, "a", 1), 3*second)))
+	require.Equal(t, 3*second, l.Since(now, 1, position).Facts[0].Age, "other hosts are told")
+	require.False(t, l.Observe(now, sent(crash(1, "a", 1), 3*second+minCorrection/2)), "not for a delay on the way")
+	require.False(t, l.Observe(now, sent(crash(1, "a", 1), second)))
+}
+
 // TestLogIsBounded guards the memory against any number of facts.
 func TestLogIsBounded(t *testing.T) {
 	l := NewLog(1)
--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -15,6 +15,9 @@
 	// factLifetime is how long a fact is kept after the event. It exceeds the longest quarantine, so that the request is
 	// still a suspect when that ends.
 	factLifetime = 30 * time.Minute
+	// minCorrection is how much earlier a host must have seen a known crash for its time to be corrected. Facts lose a few
+	// milliseconds on their way, which are not worth telling everyone again.
+	minCorrection = 20 * time.Millisecond
 	// leavingLifetime is how long a leaving instance is remembered. It exceeds the time that an instance takes to leave by far;
 	// one that still registers after it is used again until its next answer.
 	leavingLifetime = 24 * time.Hour
@@ -37,14 +40,18 @@
 	records  map[factKey]*record
 	counts   [kinds]int
 	requests map[uint64]*history // by fingerprint
-	// witnesses holds the requests that were at each crashed instance.
-	witnesses map[Instance]map[uint64]bool
-	changed   chan struct{}
+	// witnesses holds the crashes at each instance by the request that was there.
+	witnesses map[Instance]map[uint64]*record
+	// isRanked is false if the ranks of the crashes have to be determined again.
+	isRanked bool
+	changed  chan struct{}
 }
 
 // history holds the facts about one request.
 type history struct {
 	crashes map[Instance]*record
+	// firsts counts the crashed instances that none of the other requests there was sent to long before, see rank.
+	firsts int
 	// answered is the latest answer, or nil.
 	answered *record
 }
@@ -55,7 +62,7 @@
 		origin:    origin,
 		records:   map[factKey]*record{},
 		requests:  map[uint64]*history{},
-		witnesses: map[Instance]map[uint64]bool{},
+		witnesses: map[Instance]map[uint64]*record{},
 		changed:   make(chan struct{}),
 	}
 }
@@ -95,6 +102,8 @@
 	switch {
 	case f.Kind < Crashed || f.Kind >= kinds || f.Age > lifetime(f.Kind):
 		return false
+	case known != nil && f.Kind == Crashed:
+		return l.correct(known, at)
 	case known != nil && (f.Kind != Answered || at <= known.at):
 		return false
 	case f.Kind == Crashed && h != nil && h.answered != nil && at <= h.answered.at:
@@ -118,6 +127,18 @@
 	return true
 }
 
+// correct takes over an earlier time of a known crash: hosts that sent the request to an instance that had already ended saw the
+// same crash later. It returns whether the others must be told. The caller holds l.mu.
+func (l *Log) correct(known *record, at time.Duration) bool {
+	if at > known.at-minCorrection {
+		return false
+	}
+	l.position++
+	known.at, known.position = at, l.position
+	l.isRanked = false
+	return true
+}
+
 // addToHistory adds a fact about a request to the history of that request.
 func (l *Log) addToHistory(r *record) {
 	f := &r.fact
@@ -133,9 +154,10 @@
 	}
 	h.crashes[f.Instance] = r
 	if l.witnesses[f.Instance] == nil {
-		l.witnesses[f.Instance] = map[uint64]bool{}
+		l.witnesses[f.Instance] = map[uint64]*record{}
 	}
-	l.witnesses[f.Instance][f.Fingerprint] = true
+	l.witnesses[f.Instance][f.Fingerprint] = r
+	l.isRanked = false
 }
 
 // refute removes the crashes that are not later than an answer.
@@ -164,6 +186,7 @@
 		if len(l.witnesses[f.Instance]) == 0 {
 			delete(l.witnesses, f.Instance)
 		}
+		l.isRanked = false
 	}
 	if len(h.crashes) == 0 && h.answered == nil {
 		delete(l.requests, f.Fingerprint)
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -19,6 +19,9 @@
 	// rack or a switch, end under every request that was sent to them all.
 	coincidence   = 300 * time.Millisecond
 	maxCoincident = 2
+	// firstSlack is how much later than the first request without an answer the one may have been sent that ended an instance: about the
+	// longest time that the former is queued and runs. What is sent later than that meets an instance that has already ended.
+	firstSlack = 500 * time.Millisecond
 	// firstQuarantine is how long a request is refused after the last crash. It doubles with each further crash, up to
 	// firstQuarantine << maxDoublings.
 	firstQuarantine = 2 * time.Minute
@@ -83,12 +86,10 @@
 	latest = math.MinInt64
 	var times []time.Duration
 	seen := map[model.TargetID]bool{}
-	explaining := len(h.crashes) + 1
-	if isOneTarget(h) {
-		explaining--
-	}
+	l.rank()
+	oneTarget := isOneTarget(h)
 	for instance, r := range h.crashes {
-		if l.isExplained(instance, h, explaining) {
+		if l.isExplained(r, h, oneTarget) {
 			continue
 		}
 		times = append(times, r.at)
@@ -106,17 +107,47 @@
 	return weight, len(seen), latest
 }
 
-// isExplained reports whether the end of an instance counts against another request that was there, because at least the given
-// number of instances ended under that one. Requests that only share targets with the one that crashes them are spared by this.
-func (l *Log) isExplained(instance Instance, h *history, crashes int) bool {
-	for fingerprint := range l.witnesses[instance] {
-		if other := l.requests[fingerprint]; other != h && len(other.crashes) >= crashes {
+// isExplained reports whether a crash counts against another request that was at the instance. That is the one with more first
+// places than h; one with as many, if it was sent there long before h or if all crashes of h are of one target. Requests that
+// only share targets with the one that crashes them are spared by this, also those that meet targets which have
+// gone silent, however popular they are.
+func (l *Log) isExplained(crash *record, h *history, oneTarget bool) bool {
+	for fingerprint, earlier := range l.witnesses[crash.fact.Instance] {
+		other := l.requests[fingerprint]
+		switch {
+		case other == h:
+		case other.firsts > h.firsts:
+			return true
+		case other.firsts == h.firsts && (oneTarget || earlier.at+firstSlack < crash.at):
 			return true
 		}
 	}
 	return false
 }
 
+// rank counts the first places of all requests: the instances that ended without an answer to a request which was sent there
+// before all others, or soon after the first of them.
+func (l *Log) rank() {
+	if l.isRanked {
+		return
+	}
+	l.isRanked = true
+	for _, h := range l.requests {
+		h.firsts = 0
+	}
+	for _, crashes := range l.witnesses {
+		first := time.Duration(math.MaxInt64)
+		for _, r := range crashes {
+			first = min(first, r.at)
+		}
+		for fingerprint, r := range crashes {
+			if r.at <= first+firstSlack {
+				l.requests[fingerprint].firsts++
+			}
+		}
+	}
+}
+
 // isOneTarget reports whether all crashes of a request are of one target.
 func isOneTarget(h *history) bool {
 	var first model.TargetID
