evidence: know of silent targets within seconds, and spare requests that were answered before

Causes, one class: silence was judged by the registration alone. - The end of a silent target was known when its registration ended, up to four heartbeats later. That is after the time from which the rule counts. - Whoever was sent to a silent target counted as having been there when it ended, also popular requests that were answered a second before. - Silent ends within 0.3 s weighed two at most, as cut attempts do.

Changes: - A target that owes an answer for 0.6 s, and three times the usual latency, is asked for its health (`health-path`), at most twice 1.2 s. Silent both times, it counts as silent. A reply of any kind since the attempt excuses it. No probes of cold, quiet or leaving targets, and none for requests that any target has answered. Health answers are read for Server-Leaving and Retry-After like others. - Hosts remember what they have seen answered. When such a request becomes a suspect they say so, and silent ends do not count against it; cut attempts do. Refuted crashes stay in the log, so that logs converge when times are corrected (found by TestLogsConverge). - Silent ends are not grouped. Records in the store carry the flag: without it, each host that read the record grouped them again. - A crash is not explained by what other requests did after the latest crash of the suspect, which has none while it is refused.

Ruled out: connecting as proof of life (a hung process accepts), a longer coincidence, sharing all answers (the traffic of every request).

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -149,6 +149,31 @@
 	require.False(t, l.Observe(now, sent(crash(1, "a", 1), second)))
 }
 
+// TestAnsweredRequestMeetsSilentTargets guards against refusing a popular request because all targets of a service fall silent: an answer
+// to it that any host remembers, from before they did, is enough to tell it from a request that silences them.
+func TestAnsweredRequestMeetsSilentTargets(t *testing.T) {
+	l, other := NewLog(1), NewLog(2)
+	require.False(t, other.RecordAnswer(second, 1), "it is no suspect yet")
+	now := 10 * second
+	for i := range 4 {
+		for fingerprint := range uint64(2) {
+			f := crash(1+fingerprint, fmt.Sprint("t", i), 1)
+			f.Silent = true
+			l.Observe(now, f)
+		}
+	}
+	require.Equal(t, Quarantined, l.Judge(now, 1).Verdict)
+	other.Merge(now, l.Since(now, 1, 0))
+	l.Merge(now, other.Since(now, 2, 0))
+	require.Equal(t, Unsuspected, l.Judge(now, 1).Verdict)
+	require.Equal(t, Quarantined, l.Judge(now, 2).Verdict)
+	for i := range 4 {
+		now += second
+		l.Observe(now, crash(1, fmt.Sprint("t", i), 2))
+	}
+	require.Equal(t, Quarantined, l.Judge(now, 1).Verdict, "attempts that are cut count whatever was answered before")
+}
+
 // TestLogIsBounded guards the memory against any number of facts.
 func TestLogIsBounded(t *testing.T) {
 	l := NewLog(1)
@@ -182,9 +207,11 @@
 			host, fingerprint := rng.IntN(3), uint64(rng.IntN(3))
 			switch rng.IntN(5) {
 			case 0, 1:
-				logs[host].Observe(now, crash(fingerprint, fmt.Sprint("t", rng.IntN(6)), rng.IntN(3)))
+				f := sent(crash(fingerprint, fmt.Sprint("t", rng.IntN(6)), rng.IntN(3)), time.Duration(rng.IntN(10))*100*time.Millisecond)
+				f.Silent = rng.IntN(2) == 0
+				logs[host].Observe(now, f)
 			case 2:
-				logs[host].Observe(now, answer(fingerprint))
+				logs[host].RecordAnswer(now, fingerprint)
 			case 3:
 				exchange(host, (host+1+rng.IntN(2))%3)
 			case 4:
@@ -209,6 +236,12 @@
 	})
 }
 
+// requireNoEnd ends an attempt without an answer at an instance that is not known to have ended under it.
+func requireNoEnd(t *testing.T, w *Witness, now time.Duration, a Attempt, reason ...any) {
+	_, ended := w.Unanswered(now, a, false)
+	require.False(t, ended, reason...)
+}
+
 // TestWitnessRelatesAttemptsToTheEnd guards against missing an end that becomes known before or after the attempt ends.
 func TestWitnessRelatesAttemptsToTheEnd(t *testing.T) {
 	attempt := func(fingerprint uint64, sent time.Duration) Attempt {
@@ -219,13 +252,13 @@
 	for _, a := range []Attempt{lost, running, ran, old} {
 		w.Started(a)
 	}
-	require.False(t, w.Unanswered(second, old))
-	require.False(t, w.Unanswered(2*second, lost))
+	requireNoEnd(t, &w, second, old)
+	requireNoEnd(t, &w, 2*second, lost)
 	w.Ran(ran)
 	require.Equal(t, []Attempt{lost}, w.Ended(3*second, Deregistered))
 	later := attempt(5, 4*second)
 	w.Started(later)
-	require.False(t, w.Unanswered(5*second, later), "it was sent after the end")
+	requireNoEnd(t, &w, 5*second, later, "it was sent after the end")
 	require.Equal(t, []Attempt{running}, w.Ended(5*second, Gone), "what runs at an instance that is gone gets no answer")
 	require.Empty(t, w.Ended(5*second, Gone))
 
@@ -236,18 +269,18 @@
 	alive.Started(after)
 	alive.Answered(after)
 	alive.Started(next)
-	require.False(t, alive.Unanswered(6*second, next))
+	requireNoEnd(t, &alive, 6*second, next)
 	require.Equal(t, []Attempt{next}, alive.Ended(7*second, Gone), "an instance that answered after a supposed end can still end")
 
 	var leaving Witness
 	leaving.Started(lost)
-	require.False(t, leaving.Unanswered(2*second, lost))
+	requireNoEnd(t, &leaving, 2*second, lost)
 	leaving.Leaving()
 	require.Empty(t, leaving.Ended(3*second, Gone), "a planned end is no evidence")
 
 	var refuted Witness
 	refuted.Started(lost)
 	lost.Request.Answered = true
-	require.False(t, refuted.Unanswered(2*second, lost))
+	requireNoEnd(t, &refuted, 2*second, lost)
 	require.Empty(t, refuted.Ended(3*second, Gone), "another target has answered the request")
 }
--- a/internal/evidence/fact.go
+++ b/internal/evidence/fact.go
@@ -44,6 +44,9 @@
 	Fingerprint uint64
 	// Instance is the instance that crashed or leaves; it is zero for Answered.
 	Instance Instance
+	// Silent means that the attempt at the instance was not seen to be cut, so that the instance may have ended before it. It is
+	// false for other kinds than Crashed.
+	Silent bool
 	// Age is the time since the event. A receiver counts it from the moment of receipt.
 	Age time.Duration
 }
--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -42,6 +42,8 @@
 	requests map[uint64]*history // by fingerprint
 	// witnesses holds the crashes at each instance by the request that was there.
 	witnesses map[Instance]map[uint64]*record
+	// answers holds requests that were answered here, whether or not they are suspects.
+	answers answerMemory
 	// isRanked is false if the ranks of the crashes have to be determined again.
 	isRanked bool
 	changed  chan struct{}
@@ -50,8 +52,8 @@
 // history holds the facts about one request.
 type history struct {
 	crashes map[Instance]*record
-	// firsts counts the crashed instances that none of the other requests there was sent to long before, see rank.
-	firsts int
+	// firsts holds the times of the crashes at instances to which no other request was sent long before, in order; see rank.
+	firsts []time.Duration
 	// answered is the latest answer, or nil.
 	answered *record
 }
@@ -67,7 +69,7 @@
 	}
 }
 
-// Observe adds a fact that this host has seen. It returns false if the fact changes nothing.
+// Observe adds a fact that this host has seen. It returns false if the fact changes nothing, or is a crash that an answer refutes.
 func (l *Log) Observe(now time.Duration, f Fact) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,7 +77,7 @@
 		return false
 	}
 	l.notify()
-	return true
+	return f.Kind != Crashed || !l.requests[f.Fingerprint].isRefuted(l.records[f.key()])
 }
 
 // Merge adds the facts of another host and returns those that were new.
@@ -94,20 +96,18 @@
 	return added
 }
 
-// add adds a fact unless it is known, outdated or refuted. The caller holds l.mu.
+// add adds a fact unless it is known or outdated. Refuted crashes are kept: whether they are refuted depends on times that other
+// hosts may still correct. The caller holds l.mu.
 func (l *Log) add(now time.Duration, f Fact, own bool) bool {
 	at := now - f.Age
-	h := l.requests[f.Fingerprint]
 	known := l.records[f.key()]
 	switch {
 	case f.Kind < Crashed || f.Kind >= kinds || f.Age > lifetime(f.Kind):
 		return false
 	case known != nil && f.Kind == Crashed:
-		return l.correct(known, at)
+		return l.correct(known, at, f.Silent)
 	case known != nil && (f.Kind != Answered || at <= known.at):
 		return false
-	case f.Kind == Crashed && h != nil && h.answered != nil && at <= h.answered.at:
-		return false
 	}
 	if known != nil {
 		l.remove(known)
@@ -124,21 +124,51 @@
 	if f.Kind != Leaving {
 		l.addToHistory(r)
 	}
+	if f.Kind == Crashed {
+		l.recallAnswer(now, f.Fingerprint)
+	}
 	return true
 }
 
-// correct takes over an earlier time of a known crash: hosts that sent the request to an instance that had already ended saw the
-// same crash later. It returns whether the others must be told. The caller holds l.mu.
-func (l *Log) correct(known *record, at time.Duration) bool {
-	if at > known.at-minCorrection {
+// correct takes over what is known better about a crash: an earlier attempt, since the same request may have been sent to an instance
+// that had already ended, or that this attempt was cut. It returns whether the others must be told. The caller holds l.mu.
+func (l *Log) correct(known *record, at time.Duration, silent bool) bool {
+	switch {
+	case at < known.at-minCorrection:
+		known.fact.Silent = silent
+	case at <= known.at+minCorrection && known.fact.Silent && !silent:
+		known.fact.Silent = false
+	default:
 		return false
 	}
 	l.position++
-	known.at, known.position = at, l.position
+	known.at, known.position = min(at, known.at), l.position
 	l.isRanked = false
 	return true
 }
 
+// RecordAnswer records that a target has answered a request for this host. It returns true if that clears a suspect.
+func (l *Log) RecordAnswer(now time.Duration, fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers.add(fingerprint, now)
+	h := l.requests[fingerprint]
+	if h.countCrashes() == 0 || !l.add(now, Fact{Kind: Answered, Fingerprint: fingerprint}, true) {
+		return false
+	}
+	l.notify()
+	return true
+}
+
+// recallAnswer adds the latest answer to a request that has become a suspect, which the others can't know of. The caller holds
+// l.mu.
+func (l *Log) recallAnswer(now time.Duration, fingerprint uint64) {
+	at, ok := l.answers.latest(fingerprint)
+	if h := l.requests[fingerprint]; ok && (h.answered == nil || h.answered.at < at) {
+		l.add(now, Fact{Kind: Answered, Fingerprint: fingerprint, Age: now - at}, true)
+	}
+}
+
 // addToHistory adds a fact about a request to the history of that request.
 func (l *Log) addToHistory(r *record) {
 	f := &r.fact
@@ -149,7 +179,6 @@
 	}
 	if f.Kind == Answered {
 		h.answered = r
-		l.refute(h, r.at)
 		return
 	}
 	h.crashes[f.Instance] = r
@@ -160,15 +189,6 @@
 	l.isRanked = false
 }
 
-// refute removes the crashes that are not later than an answer.
-func (l *Log) refute(h *history, answered time.Duration) {
-	for _, r := range h.crashes {
-		if r.at <= answered {
-			l.remove(r)
-		}
-	}
-}
-
 func (l *Log) remove(r *record) {
 	f := &r.fact
 	delete(l.records, f.key())
@@ -249,7 +269,7 @@
 		return false
 	}
 	for _, r := range h.crashes {
-		if r.own {
+		if r.own && !h.isRefuted(r) {
 			return true
 		}
 	}
@@ -291,6 +311,9 @@
 	}
 	var facts []Fact
 	for _, r := range h.crashes {
+		if h.isRefuted(r) {
+			continue
+		}
 		f := r.fact
 		f.Age = max(0, now-r.at)
 		facts = append(facts, f)
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -15,8 +15,9 @@
 	// above crashLimit: a request may reach targets three times more after the third crash. Only crashes count then under which
 	// no other request has as many: the requests to a target that is the only one of its service share most of its ends.
 	oneTargetLimit = 5
-	// coincidence is the span within which crashes together weigh at most maxCoincident. Targets that end together, with a
-	// rack or a switch, end under every request that was sent to them all.
+	// coincidence is the span within which cut attempts together weigh at most maxCoincident. Targets that end together, with a
+	// rack or a switch, end under every request that was sent to them all. Silent ends are known seconds later, when such a
+	// request has been answered elsewhere.
 	coincidence   = 300 * time.Millisecond
 	maxCoincident = 2
 	// firstSlack is how much later than the first request without an answer the one may have been sent that ended an instance: about the
@@ -54,10 +55,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.requests[fingerprint]
-	if h == nil || len(h.crashes) == 0 {
+	crashes := h.countCrashes()
+	if crashes == 0 {
 		return Judgement{}
 	}
-	j := Judgement{Verdict: Suspect, Crashes: len(h.crashes)}
+	j := Judgement{Verdict: Suspect, Crashes: crashes}
 	weight, targets, latest := l.weigh(h)
 	limit := crashLimit
 	if targets < 2 {
@@ -76,27 +78,57 @@
 func (l *Log) IsSuspect(fingerprint uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := l.requests[fingerprint]
-	return h != nil && len(h.crashes) > 0
+	return l.requests[fingerprint].countCrashes() > 0
+}
+
+// isRefuted reports whether a crash does not count against the request, because it was answered after it. A silent one does not
+// count if the request was answered before, either: it may have been sent after the end of the target, and popular requests are
+// sent to all targets that fall silent.
+func (h *history) isRefuted(crash *record) bool {
+	return h.answered != nil && (crash.fact.Silent || crash.at <= h.answered.at)
+}
+
+// countCrashes returns the number of crashes that are not refuted. h may be nil.
+func (h *history) countCrashes() int {
+	if h == nil {
+		return 0
+	}
+	count := 0
+	for _, r := range h.crashes {
+		if !h.isRefuted(r) {
+			count++
+		}
+	}
+	return count
 }
 
 // weigh returns the weight of the crashes that count against a request, the number of their targets, and the time of the
 // latest one.
 func (l *Log) weigh(h *history) (weight, targets int, latest time.Duration) {
+	l.rank()
+	oneTarget, end := isOneTarget(h), h.latestCrash()+firstSlack
 	latest = math.MinInt64
-	var times []time.Duration
+	var cuts []time.Duration
 	seen := map[model.TargetID]bool{}
-	l.rank()
-	oneTarget := isOneTarget(h)
 	for instance, r := range h.crashes {
-		if l.isExplained(r, h, oneTarget) {
+		if h.isRefuted(r) || l.isExplained(r, h, oneTarget, end) {
 			continue
 		}
-		times = append(times, r.at)
 		seen[instance.Target] = true
 		latest = max(latest, r.at)
+		if r.fact.Silent {
+			weight++
+		} else {
+			cuts = append(cuts, r.at)
+		}
 	}
+	return weight + weighCuts(cuts), len(seen), latest
+}
+
+// weighCuts returns the weight of crashes that cut attempts which were sent at the given times.
+func weighCuts(times []time.Duration) int {
 	slices.Sort(times)
+	weight := 0
 	for i := 0; i < len(times); {
 		first, count := times[i], 0
 		for ; i < len(times) && times[i]-first <= coincidence; i++ {
@@ -104,28 +136,47 @@
 		}
 		weight += min(count, maxCoincident)
 	}
-	return weight, len(seen), latest
+	return weight
+}
+
+// latestCrash returns the time of the latest crash.
+func (h *history) latestCrash() time.Duration {
+	latest := time.Duration(math.MinInt64)
+	for _, r := range h.crashes {
+		latest = max(latest, r.at)
+	}
+	return latest
 }
 
 // isExplained reports whether a crash counts against another request that was at the instance. That is the one with more first
-// places than h; one with as many, if it was sent there long before h or if all crashes of h are of one target. Requests that
-// only share targets with the one that crashes them are spared by this, also those that meet targets which have
-// gone silent, however popular they are.
-func (l *Log) isExplained(crash *record, h *history, oneTarget bool) bool {
+// places than h, unless it was answered; one with as many, if it was sent there long before h or if all crashes of h are of one
+// target. Requests that only share targets with the one that crashes them are spared by this, also those that meet targets which have
+// gone silent, however popular they are. What happened after end, the time of the latest crash of h, does not matter: a request
+// that is refused has no further crashes, while others go on.
+func (l *Log) isExplained(crash *record, h *history, oneTarget bool, end time.Duration) bool {
+	own := len(h.firsts)
 	for fingerprint, earlier := range l.witnesses[crash.fact.Instance] {
 		other := l.requests[fingerprint]
-		switch {
-		case other == h:
-		case other.firsts > h.firsts:
+		if other == h {
+			continue
+		}
+		switch firsts := other.firstsUntil(end); {
+		case firsts > own && other.countCrashes() > 0:
 			return true
-		case other.firsts == h.firsts && (oneTarget || earlier.at+firstSlack < crash.at):
+		case firsts == own && (oneTarget || earlier.at+firstSlack < crash.at):
 			return true
 		}
 	}
 	return false
 }
 
-// rank counts the first places of all requests: the instances that ended without an answer to a request which was sent there
+// firstsUntil returns the number of first places up to a time.
+func (h *history) firstsUntil(at time.Duration) int {
+	count, _ := slices.BinarySearch(h.firsts, at+1)
+	return count
+}
+
+// rank determines the first places of all requests: the instances that ended without an answer to a request which was sent there
 // before all others, or soon after the first of them.
 func (l *Log) rank() {
 	if l.isRanked {
@@ -133,7 +184,7 @@
 	}
 	l.isRanked = true
 	for _, h := range l.requests {
-		h.firsts = 0
+		h.firsts = nil
 	}
 	for _, crashes := range l.witnesses {
 		first := time.Duration(math.MaxInt64)
@@ -142,10 +193,14 @@
 		}
 		for fingerprint, r := range crashes {
 			if r.at <= first+firstSlack {
-				l.requests[fingerprint].firsts++
+				h := l.requests[fingerprint]
+				h.firsts = append(h.firsts, r.at)
 			}
 		}
 	}
+	for _, h := range l.requests {
+		slices.Sort(h.firsts)
+	}
 }
 
 // isOneTarget reports whether all crashes of a request are of one target.
@@ -173,7 +228,7 @@
 	s := Summary{Facts: len(l.records)}
 	var suspects []uint64
 	for fingerprint, h := range l.requests {
-		if len(h.crashes) > 0 {
+		if h.countCrashes() > 0 {
 			suspects = append(suspects, fingerprint)
 		}
 	}
--- a/internal/evidence/witness.go
+++ b/internal/evidence/witness.go
@@ -10,6 +10,9 @@
 	// registration ends three heartbeats after its process, or is replaced when the next instance starts, some seconds
 	// later.
 	unansweredLifetime = 12 * time.Second
+	// maxCutDelay is how long after its transmission an attempt may be cut for the cut to be taken as the end of its target.
+	// Connections to a target that fell silent long before are reset when its next instance starts.
+	maxCutDelay = time.Second
 	// maxUnanswered bounds the attempts without an answer that are remembered for one instance.
 	maxUnanswered = 32
 )
@@ -26,6 +29,8 @@
 type Attempt struct {
 	Request *Request
 	Sent    time.Duration
+	// Cut means that the attempt ended with the loss of its connection soon after it was sent.
+	Cut bool
 }
 
 // Ending is how certain it is that an instance has ended.
@@ -34,6 +39,8 @@
 const (
 	// Running means that nothing is known of an end.
 	Running Ending = iota
+	// Silent means that the instance answers nothing, not even probes on new connections.
+	Silent
 	// Deregistered means that the instance's registration has ended. It may go on to answer what it has: some targets
 	// leave without announcing it.
 	Deregistered
@@ -51,11 +58,21 @@
 	endKnown time.Duration
 	// planned means that the instance announced its end.
 	planned bool
+	// replied is the time of the latest reply of any kind.
+	replied time.Duration
 }
 
 // Started records an attempt that is about to be sent.
 func (w *Witness) Started(a Attempt) { w.running = append(w.running, a) }
 
+// Replied records that the instance has sent a reply of any kind, so that it is not silent.
+func (w *Witness) Replied(now time.Duration) {
+	w.replied = now
+	if w.ending == Silent {
+		w.ending = Running
+	}
+}
+
 // Ran records the end of an attempt that did not run.
 func (w *Witness) Ran(a Attempt) { w.removeRunning(a) }
 
@@ -68,21 +85,22 @@
 	}
 }
 
-// Unanswered records the end of an attempt without an answer. It reports whether the target is known to have ended under
-// it.
-func (w *Witness) Unanswered(now time.Duration, a Attempt) bool {
+// Unanswered records the end of an attempt without an answer; lost means that its connection was lost. It returns the attempt, as
+// Ended does, and whether the target is known to have ended under it.
+func (w *Witness) Unanswered(now time.Duration, a Attempt, lost bool) (Attempt, bool) {
 	if !w.removeRunning(a) || w.planned || a.Request.Answered {
-		return false
+		return a, false
 	}
+	a.Cut = lost && now-a.Sent <= maxCutDelay
 	if w.ending != Running {
-		return a.Sent <= w.endKnown
+		return a, a.Sent <= w.endKnown
 	}
 	w.forget(now)
 	if len(w.unanswered) >= maxUnanswered {
 		w.unanswered = w.unanswered[1:]
 	}
 	w.unanswered = append(w.unanswered, a)
-	return false
+	return a, false
 }
 
 func (w *Witness) removeRunning(a Attempt) bool {
@@ -117,8 +135,7 @@
 	}
 	w.ending = ending
 	w.forget(now)
-	found := w.unanswered
-	w.unanswered = nil
+	found := w.takeUnanswered(ending)
 	if ending == Gone {
 		found = append(found, w.running...)
 		w.running = nil
@@ -126,6 +143,35 @@
 	return slices.DeleteFunc(found, func(a Attempt) bool { return a.Request.Answered })
 }
 
+// takeUnanswered removes and returns the attempts that may have met the end of the instance. Silence after the latest reply says
+// nothing of the attempts before it.
+func (w *Witness) takeUnanswered(ending Ending) []Attempt {
+	if ending != Silent {
+		found := w.unanswered
+		w.unanswered = nil
+		return found
+	}
+	var found []Attempt
+	sentAfterReply := func(a Attempt) bool {
+		if a.Sent <= w.replied {
+			return false
+		}
+		found = append(found, a)
+		return true
+	}
+	w.unanswered = slices.DeleteFunc(w.unanswered, sentAfterReply)
+	w.running = slices.DeleteFunc(w.running, sentAfterReply)
+	return found
+}
+
+// IsRunning reports whether an attempt of the request is in progress.
+func (w *Witness) IsRunning(r *Request) bool {
+	return slices.ContainsFunc(w.running, func(a Attempt) bool { return a.Request == r })
+}
+
+// IsSilent reports whether the instance is known to answer nothing, or to have ended.
+func (w *Witness) IsSilent() bool { return w.ending != Running }
+
 // IsWaiting reports whether news of an end would be evidence.
 func (w *Witness) IsWaiting() bool {
 	return w.ending != Gone && (len(w.unanswered) > 0 || len(w.running) > 0)
--- a/internal/evidencestore/record.go
+++ b/internal/evidencestore/record.go
@@ -35,6 +35,8 @@
 	Target      model.TargetID    `json:"target"`
 	Incarnation model.Incarnation `json:"incarnation"`
 	AgeMS       int64             `json:"age_ms"`
+	// Silent is that of evidence.Fact.
+	Silent bool `json:"silent,omitempty"`
 }
 
 func fingerprintText(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
@@ -60,7 +62,7 @@
 	r := record{Host: host, Crashes: []crashRecord{}}
 	for _, f := range crashes[:min(len(crashes), maxCrashes)] {
 		r.Crashes = append(r.Crashes, crashRecord{
-			Target: f.Instance.Target, Incarnation: f.Instance.Incarnation, AgeMS: f.Age.Milliseconds(),
+			Target: f.Instance.Target, Incarnation: f.Instance.Incarnation, AgeMS: f.Age.Milliseconds(), Silent: f.Silent,
 		})
 	}
 	return json.Marshal(r)
@@ -78,7 +80,7 @@
 			return "", nil, fmt.Errorf("record of crashes: target %q with an age of %d ms", c.Target, c.AgeMS)
 		}
 		facts = append(facts, evidence.Fact{
-			Kind: evidence.Crashed, Fingerprint: fingerprint,
+			Kind: evidence.Crashed, Fingerprint: fingerprint, Silent: c.Silent,
 			Instance: evidence.Instance{Target: c.Target, Incarnation: c.Incarnation},
 			Age:      time.Duration(c.AgeMS) * time.Millisecond,
 		})
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -117,13 +117,20 @@
 }
 
 // Probe implements Client.
-func (p *Pool) Probe(ctx context.Context, a *Attempt) error {
+func (p *Pool) Probe(ctx context.Context, a *Attempt) (*Reply, error) {
+	if a.Request != nil {
+		reply, err := p.Do(ctx, a)
+		if reply != nil && !reply.WrongTarget {
+			err = nil
+		}
+		return reply, err
+	}
 	conns, conn, err := p.acquire(ctx, a)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	p.release(conns, conn, true)
-	return nil
+	return nil, nil
 }
 
 // acquire returns an idle connection to the target, or opens one.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -104,9 +104,10 @@
 	// Do sends the attempt and returns the reply. With ErrFailure it also returns the reply. All other errors are from
 	// package targetclient: ErrNotSent, ErrShed, ErrDraining, ErrMismatch, ErrLost, ErrNoReply and ErrCancelled.
 	Do(ctx context.Context, attempt *Attempt) (*Reply, error)
-	// Probe opens a connection to the attempt's target and keeps it for later attempts. It sends nothing. The error wraps
-	// syscall.ECONNREFUSED if nothing listens at the address.
-	Probe(ctx context.Context, attempt *Attempt) error
+	// Probe sends the attempt's request and returns the target's reply, whatever it is. Without a request it only opens a
+	// connection, which is kept for later attempts, and returns no reply. The error wraps syscall.ECONNREFUSED if nothing
+	// listens at the address, and is targetclient.ErrDraining if another target does.
+	Probe(ctx context.Context, attempt *Attempt) (*Reply, error)
 }
 
 // replyError returns the error that corresponds to a reply, or nil for a success.
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -19,18 +21,28 @@
 
 const (
 	// probeDelay is the delay between a loss and the probe of its target. After it, a crashed process refuses connections.
-	probeDelay   = 30 * time.Millisecond
-	probeTimeout = 300 * time.Millisecond
+	probeDelay = 30 * time.Millisecond
+	// silenceDelay is the minimum time from the transmission of an attempt to the probe of its target for the lack of an answer.
+	silenceDelay = 600 * time.Millisecond
+	// probeTimeout and probeTries bound the probes of a target that does not answer. A target that has not answered all of them
+	// is silent. They are longer than a target's pauses and queue, and short enough that all hosts know of a third crash
+	// before retries of the request count as too late (4 s on all sites).
+	probeTimeout = 1200 * time.Millisecond
+	probeTries   = 2
+	// overdueFactor times the typical latency of a service is how long an attempt must have gone without an answer for its
+	// target to be probed. Callers that leave early would otherwise cause probes.
+	overdueFactor = 3
 	// probeInterval is the minimum time between two probes of an instance.
 	probeInterval = 250 * time.Millisecond
-	// maxProbes bounds the concurrent probes. Losses beyond it are left to the news of the registry.
-	maxProbes = 8
+	// maxProbes bounds the targets that are probed at the same time. Losses beyond it are left to the news of the registry.
+	maxProbes = 32
 	// maxDoubtful bounds the requests without an answer that are remembered.
 	maxDoubtful = 4096
 )
 
 // endings maps verdicts to the certainty of the end.
 var endings = map[TargetVerdict]evidence.Ending{
+	LossTargetSilent:       evidence.Silent,
 	LossTargetRefuses:      evidence.Gone,
 	LossTargetReplaced:     evidence.Gone,
 	LossTargetDeregistered: evidence.Deregistered,
@@ -74,6 +86,9 @@
 func (r *run) recordEnding(p *pickedTarget, reply *exchange.Reply, err error) []TargetDecision {
 	e, attempt, now := r.engine, evidence.Attempt{Request: r.evidence, Sent: p.sent}, monotime.Now()
 	witness := &p.state.witness
+	if reply != nil && !reply.WrongTarget {
+		witness.Replied(now)
+	}
 	switch {
 	case err == nil, errors.Is(err, exchange.ErrFailure) && reply.Signature != "":
 		witness.Answered(attempt)
@@ -89,7 +104,8 @@
 		return nil
 	}
 	r.unanswered = true
-	if witness.Unanswered(now, attempt) {
+	lost := errors.Is(err, targetclient.ErrLost)
+	if attempt, ended := witness.Unanswered(now, attempt, lost); ended {
 		return e.recordCrashes(p.state, []evidence.Attempt{attempt}, p.state.endVerdict)
 	}
 	if r.evidence.Answered {
@@ -99,12 +115,41 @@
 		clear(e.doubtful) // their attempts at instances that end are then blamed although another run was answered
 	}
 	e.doubtful[r.fingerprint] = r.evidence
-	if errors.Is(err, targetclient.ErrLost) {
-		e.startProbe(*p)
+	switch {
+	case lost:
+		e.startProbe(*p, probeDelay)
+	case errors.Is(err, targetclient.ErrNoReply), now-p.sent >= r.overdue(p.service):
+		e.startProbe(*p, max(0, p.sent+silenceDelay-now))
 	}
 	return nil
 }
 
+// probeOverdue probes the targets of attempts that have had no answer for long, unless any target has answered the request.
+func (r *run) probeOverdue() {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.evidence.Answered {
+		return
+	}
+	now := monotime.Now()
+	for i := range r.picked {
+		p := &r.picked[i]
+		if p.state.witness.IsRunning(r.evidence) && now-p.sent >= r.overdue(p.service) {
+			e.startProbe(*p, 0)
+		}
+	}
+}
+
+// overdue returns the time after which the lack of an answer is a reason to probe the target. The caller holds e.mu.
+func (r *run) overdue(service *serviceState) time.Duration {
+	typical := service.latency.Typical(r.engine.now())
+	if typical == 0 {
+		return max(silenceDelay, r.objective())
+	}
+	return max(silenceDelay, overdueFactor*typical)
+}
+
 // recordAnswer records that a target has answered the request. The caller holds e.mu.
 func (r *run) recordAnswer(now time.Duration) []TargetDecision {
 	e := r.engine
@@ -113,10 +158,9 @@
 	}
 	r.evidence.Answered = true
 	delete(e.doubtful, r.fingerprint)
-	if !e.cfg.Evidence.IsSuspect(r.fingerprint) {
+	if !e.cfg.Evidence.RecordAnswer(now, r.fingerprint) {
 		return nil
 	}
-	e.cfg.Evidence.Observe(now, evidence.Fact{Kind: evidence.Answered, Fingerprint: r.fingerprint})
 	return []TargetDecision{{Fingerprint: r.fingerprint, Verdict: LossRefuted, Judgement: e.judge(r.fingerprint)}}
 }
 
@@ -132,7 +176,7 @@
 	instance := t.instance()
 	var decisions []TargetDecision
 	for _, a := range attempts {
-		fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Age: now - a.Sent}
+		fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Silent: !a.Cut, Age: now - a.Sent}
 		if e.cfg.Evidence.Observe(now, fact) {
 			decisions = append(decisions, TargetDecision{
 				Fingerprint: fact.Fingerprint, Instance: instance, Verdict: verdict, Judgement: e.judge(fact.Fingerprint),
@@ -205,40 +249,69 @@
 	}
 }
 
-// startProbe asks for the state of a target that lost an attempt, unless that is being done already. The caller holds e.mu.
-func (e *Engine) startProbe(p pickedTarget) {
-	now := monotime.Now()
-	if p.state.probing || p.state.probed && now < p.state.nextProbe || e.probes >= maxProbes {
+// startProbe probes a target that has not answered an attempt, unless that is being done already or the target has asked for
+// fewer requests. The caller holds e.mu.
+func (e *Engine) startProbe(p pickedTarget, delay time.Duration) {
+	now, t := monotime.Now(), p.state
+	switch {
+	case t.probing || t.probed && now < t.nextProbe || e.probes >= maxProbes:
+		return
+	case t.witness.IsSilent() || !t.isWilling(e.now()) || e.now() < p.target.ColdUntil:
 		return
 	}
-	p.state.probing, p.state.probed, p.state.nextProbe = true, true, now+probeInterval
+	t.probing, t.probed, t.nextProbe = true, true, now+delay+probeInterval
 	e.probes++
-	e.tasks.Go(func() { e.probe(p) })
+	e.tasks.Go(func() { e.probe(p, delay) })
 }
 
-func (e *Engine) probe(p pickedTarget) {
-	timer := time.NewTimer(probeDelay)
-	defer timer.Stop()
-	<-timer.C
+// probe asks a target for its health until it answers or has been silent too often.
+func (e *Engine) probe(p pickedTarget, delay time.Duration) {
+	time.Sleep(delay)
+	verdict := LossTargetSilent
+	var reply *exchange.Reply
+	for try := 0; try < probeTries && verdict == LossTargetSilent; try++ {
+		reply, verdict = e.probeOnce(&p)
+	}
+	e.reportDecisions(e.recordProbe(p.state, reply, verdict))
+}
+
+// probeOnce asks a target for its health. If its service has no resource for that, it only connects.
+func (e *Engine) probeOnce(p *pickedTarget) (*exchange.Reply, TargetVerdict) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := e.cfg.Client.Probe(ctx, &exchange.Attempt{
-		Target: p.target.Target, Address: p.target.Address, MaxConnections: p.connections, Deadline: time.Now().Add(probeTimeout),
-	})
-	e.reportDecisions(e.recordProbe(p.state, err))
+	attempt := &exchange.Attempt{Target: p.target.Target, Address: p.target.Address, Deadline: time.Now().Add(probeTimeout)}
+	if path := e.routingState.Load().Table.Services[p.target.Service].HealthPath; path != "" {
+		attempt.Request = &exchange.Request{Method: http.MethodGet, URI: path, Host: p.target.Address}
+	}
+	reply, err := e.cfg.Client.Probe(ctx, attempt)
+	var timeout net.Error
+	switch {
+	case errors.Is(err, targetclient.ErrDraining):
+		return nil, LossTargetReplaced
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, LossTargetRefuses
+	case errors.Is(err, targetclient.ErrNoReply), errors.Is(err, targetclient.ErrCancelled), errors.As(err, &timeout) && timeout.Timeout():
+		return nil, LossTargetSilent
+	}
+	return reply, LossTargetAccepts
 }
 
 // recordProbe records the result of a probe.
-func (e *Engine) recordProbe(t *targetState, err error) []TargetDecision {
+func (e *Engine) recordProbe(t *targetState, reply *exchange.Reply, verdict TargetVerdict) []TargetDecision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t.probing = false
 	e.probes--
+	decisions := []TargetDecision{{Instance: t.instance(), Verdict: verdict}}
 	switch {
-	case err == nil:
-		return []TargetDecision{{Instance: t.instance(), Verdict: LossTargetAccepts}}
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return e.recordEnd(t, LossTargetRefuses)
+	case reply != nil:
+		t.witness.Replied(monotime.Now())
+		return append(decisions, e.recordWishes(t, reply)...)
+	case verdict == LossTargetAccepts:
+		return decisions
+	}
+	if ended := e.recordEnd(t, verdict); len(ended) > 0 {
+		return ended
 	}
-	return []TargetDecision{{Instance: t.instance(), Verdict: LossTargetSilent}}
+	return decisions
 }
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -26,13 +26,13 @@
 	down map[string]bool
 }
 
-func (c *crashingClient) Probe(_ context.Context, a *exchange.Attempt) error {
+func (c *crashingClient) Probe(_ context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down[a.Address] {
-		return syscall.ECONNREFUSED
+		return nil, syscall.ECONNREFUSED
 	}
-	return nil
+	return nil, nil
 }
 
 // TestCrashingRequestIsQuarantined guards against a request that crashes every target that runs it and that its caller
@@ -157,11 +157,11 @@
 	return &exchange.Reply{Status: 200, ReplyInfo: exchange.ReplyInfo{Signature: string(a.Target)}}, nil
 }
 
-func (c *outageClient) Probe(_ context.Context, a *exchange.Attempt) error {
+func (c *outageClient) Probe(_ context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
 	if c.isDown(a.Address) {
-		return syscall.ECONNREFUSED
+		return nil, syscall.ECONNREFUSED
 	}
-	return nil
+	return nil, nil
 }
 
 // TestCrashesForOtherReasonsRefuseNoRequest guards against refusing proper requests, popular ones among them, because targets
--- a/internal/forward/decision.go
+++ b/internal/forward/decision.go
@@ -13,10 +13,10 @@
 
 // The verdicts. Those that begin with Loss concern attempts that got no answer.
 const (
-	// LossTargetAccepts, the result of a probe, means that the target's address accepts connections, which proves neither its
+	// LossTargetAccepts, the result of a probe, means that something answers at the target's address, which proves neither its
 	// life nor its end.
 	LossTargetAccepts TargetVerdict = "address accepts"
-	// LossTargetSilent, the result of a probe, means that the target's address did not answer a probe.
+	// LossTargetSilent, the result of probes, means that the target answered none of them.
 	LossTargetSilent TargetVerdict = "address silent"
 	// LossTargetRefuses means that the target's address refuses connections: the target has ended.
 	LossTargetRefuses TargetVerdict = "target refuses"
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -56,7 +56,9 @@
 	return reply, nil
 }
 
-func (f *fakeClient) Probe(context.Context, *exchange.Attempt) error { return nil }
+func (f *fakeClient) Probe(context.Context, *exchange.Attempt) (*exchange.Reply, error) {
+	return nil, nil
+}
 
 // respondAfter returns a respond function that succeeds after the given duration.
 func respondAfter(d time.Duration) func(*exchange.Attempt) (time.Duration, error) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -194,7 +194,7 @@
 	defer close(r.finished)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	firstSendDeadline := r.latestSend()
+	firstSendDeadline, nextProbe := r.latestSend(), r.arrived+silenceDelay
 	r.sendAttempts(r.machine.Tick(r.engine.now()))
 	for !r.machine.Done() {
 		if r.condemned {
@@ -211,7 +211,11 @@
 		if len(r.picked) == 0 {
 			next = min(next, firstSendDeadline)
 		}
-		timer.Reset(next - now)
+		if now >= nextProbe {
+			r.probeOverdue()
+			nextProbe = now + probeInterval
+		}
+		timer.Reset(min(next, nextProbe) - now)
 		select {
 		case ev := <-r.events:
 			r.sendAttempts(r.handleEvent(ev))
@@ -315,7 +319,10 @@
 	}
 	decisions := r.recordEnding(&p, reply, err)
 	if reply != nil && !errors.Is(err, targetclient.ErrDraining) && !errors.Is(err, targetclient.ErrMismatch) {
-		decisions = append(decisions, r.recordWishes(&p, reply)...)
+		if reply.Leaving {
+			r.leaving = append(r.leaving, p.state.instance())
+		}
+		decisions = append(decisions, e.recordWishes(p.state, reply)...)
 	}
 	return decisions
 }
--- a/internal/forward/willing.go
+++ b/internal/forward/willing.go
@@ -28,8 +28,7 @@
 func (t *targetState) isWilling(now time.Duration) bool { return !t.leaving && now >= t.quietUntil }
 
 // recordWishes takes over what a reply says of its target. The caller holds e.mu.
-func (r *run) recordWishes(p *pickedTarget, reply *exchange.Reply) []TargetDecision {
-	e, t := r.engine, p.state
+func (e *Engine) recordWishes(t *targetState, reply *exchange.Reply) []TargetDecision {
 	var decisions []TargetDecision
 	if reply.RetryAfter > 0 {
 		until := e.now() + reply.RetryAfter
@@ -40,11 +39,7 @@
 		}
 		decisions = append(decisions, TargetDecision{Instance: t.instance(), Verdict: TargetQuiet, For: reply.RetryAfter})
 	}
-	if !reply.Leaving {
-		return decisions
-	}
-	r.leaving = append(r.leaving, t.instance())
-	if t.leaving {
+	if !reply.Leaving || t.leaving {
 		return decisions
 	}
 	t.leaving = true
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -51,6 +51,8 @@
 	MaxConnections int
 	// ColdRate is the number of requests per second that a cold target accepts from all hosts together; 0 means no limit.
 	ColdRate float64
+	// HealthPath is the path of the targets' health resource; empty if there is none.
+	HealthPath string
 }
 
 // ClientLimits bounds the size of client requests.
