forward: probe no target that is out

Found on reading the change again: a target that answers nothing could be asked for its health although it drains or its data centre is out.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -249,8 +250,8 @@
 	}
 }
 
-// startProbe probes a target that has not answered an attempt, unless that is being done already or the target has asked for
-// fewer requests. The caller holds e.mu.
+// startProbe probes a target that has not answered an attempt, unless that is being done already, the target is out or has asked for
+// fewer requests, or it is known to be silent. The caller holds e.mu.
 func (e *Engine) startProbe(p pickedTarget, delay time.Duration) {
 	now, t := monotime.Now(), p.state
 	switch {
@@ -258,6 +259,8 @@
 		return
 	case t.witness.IsSilent() || !t.isWilling(e.now()) || e.now() < p.target.ColdUntil:
 		return
+	case !slices.Contains(e.routingState.Load().Eligible(p.target.Service), t.id):
+		return
 	}
 	t.probing, t.probed, t.nextProbe = true, true, now+delay+probeInterval
 	e.probes++
