evidence: tell the relays of crashes that this host corrects

Found on reading: an earlier time that a host had seen for a crash it had learned of before stayed with that host unless it was a relay, since only facts seen first by the host itself are sent. TestEarlierTimeOfACrashIsTakenOver covers it.

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -147,6 +147,12 @@
 	require.Equal(t, 3*second, l.Since(now, 1, position).Facts[0].Age, "other hosts are told")
 	require.False(t, l.Observe(now, sent(crash(1, "a", 1), 3*second+minCorrection/2)), "not for a delay on the way")
 	require.False(t, l.Observe(now, sent(crash(1, "a", 1), second)))
+
+	learner := NewLog(2)
+	learner.Merge(now, l.Since(now, 1, 0))
+	position, _ = learner.Changed()
+	require.True(t, learner.Observe(now, sent(crash(1, "a", 1), 4*second)))
+	require.Len(t, learner.OwnSince(now, position).Facts, 1, "a host tells its relays of what it corrects")
 }
 
 // TestAnsweredRequestMeetsSilentTargets guards against refusing a popular request because all targets of a service fall silent: an answer
--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -105,7 +105,7 @@
 	case f.Kind < Crashed || f.Kind >= kinds || f.Age > lifetime(f.Kind):
 		return false
 	case known != nil && f.Kind == Crashed:
-		return l.correct(known, at, f.Silent)
+		return l.correct(known, at, f.Silent, own)
 	case known != nil && (f.Kind != Answered || at <= known.at):
 		return false
 	}
@@ -131,8 +131,8 @@
 }
 
 // correct takes over what is known better about a crash: an earlier attempt, since the same request may have been sent to an instance
-// that had already ended, or that this attempt was cut. It returns whether the others must be told. The caller holds l.mu.
-func (l *Log) correct(known *record, at time.Duration, silent bool) bool {
+// that had already ended, or that this attempt was cut. It returns whether the others must be told. own is set if this host has seen it itself. The caller holds l.mu.
+func (l *Log) correct(known *record, at time.Duration, silent, own bool) bool {
 	switch {
 	case at < known.at-minCorrection:
 		known.fact.Silent = silent
@@ -143,6 +143,7 @@
 	}
 	l.position++
 	known.at, known.position = min(at, known.at), l.position
+	known.own = known.own || own
 	l.isRanked = false
 	return true
 }
