--- a/internal/relay/news.go
+++ b/internal/relay/news.go
@@ -170,6 +170,9 @@
 // go to all relays, what leaves to those that leavingReceivers names. A repeated call leaves out the latter: pulls carry them.
 func (r *Relay) sendFacts(after uint64, repeated bool) uint64 {
 	b := r.cfg.Evidence.OwnSince(monotime.Now(), after)
+	if len(b.Facts) == 0 {
+		return b.Position
+	}
 	leaving, others := splitLeaving(b.Facts)
 	relays := r.directory.relays(time.Now())
 	r.sendTo(relays, others)
