--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -309,3 +310,43 @@
 	require.Equal(t, []string{"1", "2"}, r.Header["X-Kept"])
 	require.Equal(t, http.Header{"X-Kept": {"1", "2"}}, a.Request.Header, "the headers are shared by attempts")
 }
+
+// TestProbeReturnsAnyReply guards against taking a target for silent that refuses or fails a health check, and against taking another
+// target at its address, or a process that accepts connections and never answers, for a sign of its life.
+func TestProbeReturnsAnyReply(t *testing.T) {
+	answerWith := func(text string) targetScript {
+		return func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, err := io.WriteString(conn, text)
+			return err == nil
+		}
+	}
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed.Close()
+	for name, c := range map[string]struct {
+		script  targetScript
+		address string
+		status  int
+		err     error
+	}{
+		"healthy":        {script: answerWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), status: 200},
+		"busy":           {script: answerWith("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), status: 503},
+		"another target": {script: answerWith("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"), status: 421, err: targetclient.ErrDraining},
+		"silent":         {script: func(net.Conn, *http.Request, int) bool { time.Sleep(time.Second); return false }, err: targetclient.ErrNoReply},
+		"gone":           {address: closed.Addr().String(), err: syscall.ECONNREFUSED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := c.address
+			if address == "" {
+				address, _ = serve(t, c.script)
+			}
+			attempt := attemptAt(address, "")
+			attempt.Deadline = time.Now().Add(200 * time.Millisecond)
+			reply, err := NewPool(testCodec{}).Probe(t.Context(), attempt)
+			require.ErrorIs(t, err, c.err)
+			if c.status > 0 {
+				require.Equal(t, c.status, reply.Status)
+			}
+		})
+	}
+}
--- a/internal/forward/willing_test.go
+++ b/internal/forward/willing_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/exchange"
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
+	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
+	"github.com/knapweedrouter/knapweedrouter/internal/routing"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
@@ -103,3 +107,41 @@
 		}
 	})
 }
+
+// healthClient has targets that answer health checks only, and say there that they leave.
+type healthClient struct {
+	*fakeClient
+	probes atomic.Int32
+}
+
+func (c *healthClient) Probe(_ context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
+	if a.Request == nil || a.Request.URI != "/health" {
+		return nil, nil
+	}
+	c.probes.Add(1)
+	return &exchange.Reply{Status: http.StatusServiceUnavailable, ReplyInfo: exchange.ReplyInfo{Leaving: true}}, nil
+}
+
+// TestHealthAnswersAreHeeded guards against new requests to a target that says in a health answer that it leaves, against a request that
+// counts as silencing targets which answer health checks, and against more than a few checks.
+func TestHealthAnswersAreHeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &healthClient{fakeClient: &fakeClient{respond: respondAfter(time.Hour)}}
+		route := singleRoute(true)
+		route.Timeout, route.MaxAttempts = 4*time.Second, 3
+		e, _ := newEngine(t, c, 1, 0, route)
+		table, err := routing.New(1, []routing.Route{route}, []routing.Service{{ID: "single", HealthPath: "/health"}}, routing.ClientLimits{})
+		require.NoError(t, err)
+		e.SetRoutingState(NewRoutingState(table, targetsOf("single"), nil, fleetOf(1)))
+		for i := range 5 {
+			outcome := e.Do(t.Context(), newRequest(fmt.Sprint(i), &table.Routes[0]))
+			require.NotNil(t, outcome.Err)
+			require.NotEqual(t, fault.Quarantined, outcome.Err.Kind)
+			time.Sleep(time.Second)
+		}
+		e.Wait()
+		require.Len(t, c.arrivals, replicas, "each target leaves after its first attempt")
+		require.LessOrEqual(t, c.probes.Load(), int32(replicas))
+		require.Zero(t, e.cfg.Evidence.Summary(monotime.Now()).Suspects)
+	})
+}
