--- a/internal/evidence/fact.go
+++ b/internal/evidence/fact.go
@@ -23,7 +23,7 @@
 	// Crashed means that an instance of a target ended after it had been sent the request and before it answered.
 	Crashed Kind = iota + 1
 	// Answered means that a target answered the request. A request that crashes targets is never answered, so the fact
-	// refutes all earlier crashes.
+	// refutes all earlier crashes, and later ones that were silent.
 	Answered
 	// Leaving means that an instance has said that it is shutting down. An instance never stops leaving.
 	Leaving
--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -131,7 +131,8 @@
 }
 
 // correct takes over what is known better about a crash: an earlier attempt, since the same request may have been sent to an instance
-// that had already ended, or that this attempt was cut. It returns whether the others must be told. own is set if this host has seen it itself. The caller holds l.mu.
+// that had already ended, or that this attempt was cut. own is set if this host has seen it itself. It returns whether the
+// others must be told. The caller holds l.mu.
 func (l *Log) correct(known *record, at time.Duration, silent, own bool) bool {
 	switch {
 	case at < known.at-minCorrection:
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -177,7 +177,9 @@
 	instance := t.instance()
 	var decisions []TargetDecision
 	for _, a := range attempts {
-		fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Silent: !a.Cut, Age: now - a.Sent}
+		fact := evidence.Fact{
+			Kind: evidence.Crashed, Fingerprint: a.Request.Fingerprint, Instance: instance, Silent: !a.Cut, Age: now - a.Sent,
+		}
 		if e.cfg.Evidence.Observe(now, fact) {
 			decisions = append(decisions, TargetDecision{
 				Fingerprint: fact.Fingerprint, Instance: instance, Verdict: verdict, Judgement: e.judge(fact.Fingerprint),
