--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -217,7 +217,11 @@
 				f.Silent = rng.IntN(2) == 0
 				logs[host].Observe(now, f)
 			case 2:
-				logs[host].RecordAnswer(now, fingerprint)
+				if rng.IntN(2) == 0 {
+					logs[host].RecordAnswer(now, fingerprint)
+				} else {
+					logs[host].Observe(now, answer(fingerprint))
+				}
 			case 3:
 				exchange(host, (host+1+rng.IntN(2))%3)
 			case 4:
