--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -56,8 +56,10 @@
 }
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"late-copy":    lateCopy,
-	"lost-removal": lostRemoval,
+	"late-copy":       lateCopy,
+	"lost-removal":    lostRemoval,
+	"large-config":    largeConfig,
+	"lost-evacuation": lostEvacuation,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -8,13 +8,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // pageItems is the number of items on a page of a listing.
 const pageItems = 50
 
-// storeAnswer is how long the store takes for an answer.
+// storeAnswer is how long the store takes for an answer, when it is not slow.
 const storeAnswer = 4 * time.Millisecond
 
 type item struct {
@@ -31,6 +32,8 @@
 type store struct {
 	address string
 	record  *record
+	// slowness is how many times as long as usual the store takes for an answer.
+	slowness atomic.Int64
 
 	mu       sync.Mutex
 	revision uint64
@@ -62,7 +65,7 @@
 	mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.endLease)
 	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(storeAnswer)
+		time.Sleep(storeAnswer * time.Duration(max(1, s.slowness.Load())))
 		mux.ServeHTTP(w, r)
 	}))
 	return s
