--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -20,6 +20,7 @@
 type fleet struct {
 	root, folder string
 	hosts        []*host
+	run          []string
 }
 
 // host is one machine with its gateway process.
@@ -38,12 +39,12 @@
 	check(err)
 	folder, err := os.MkdirTemp("", "review-")
 	check(err)
-	f := &fleet{root: root, folder: folder}
 	run, template := deployFile(root)
+	f := &fleet{root: root, folder: folder, run: run}
 	for i, zone := range zones {
 		ports := freePorts(5)
 		at := func(n int) string { return loopback + ":" + strconv.Itoa(ports[n]) }
-		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, i+1), front: at(0), ready: at(1), ended: make(chan struct{})}
+		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, i+1), front: at(0), ready: at(1)}
 		h.settings = filepath.Join(folder, h.name+".json")
 		// The figures are those of the site file vpc-search.
 		content := render(template, map[string]any{
@@ -54,28 +55,45 @@
 		})
 		check(os.WriteFile(h.settings, []byte(content), 0o600))
 		f.hosts = append(f.hosts, h)
-		f.start(rec, h, run)
+		f.start(rec, h)
 	}
 	return f
 }
 
-func (f *fleet) start(rec *record, h *host, run []string) {
-	logFile, err := os.Create(filepath.Join(f.folder, h.name+".log"))
+func (f *fleet) start(rec *record, h *host) {
+	logFile, err := os.OpenFile(filepath.Join(f.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
-	h.command = exec.Command(filepath.Join(f.root, run[0]), run[1:]...)
+	h.command = exec.Command(filepath.Join(f.root, f.run[0]), f.run[1:]...)
 	h.command.Dir = f.root
 	h.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KNAPWEEDROUTER_CONFIG=" + h.settings}
 	h.command.Stdout, h.command.Stderr = logFile, logFile
 	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(h.command.Start())
 	rec.line("started %s front=%s pid=%d", h.name, h.front, h.command.Process.Pid)
+	command, ended := h.command, make(chan struct{})
+	h.ended = ended
 	go func() {
-		h.command.Wait()
+		command.Wait()
 		logFile.Close()
-		close(h.ended)
+		close(ended)
 	}()
 }
 
+// killAll kills all processes of the system at the same moment and starts them again after a while.
+func (f *fleet) killAll(rec *record, down time.Duration) {
+	for _, h := range f.hosts {
+		h.command.Process.Kill()
+	}
+	for _, h := range f.hosts {
+		<-h.ended
+	}
+	rec.say("all hosts are killed")
+	time.Sleep(down)
+	for _, h := range f.hosts {
+		f.start(rec, h)
+	}
+}
+
 // awaitReady waits until all hosts are ready.
 func (f *fleet) awaitReady(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -60,6 +60,7 @@
 	"lost-removal":    lostRemoval,
 	"large-config":    largeConfig,
 	"lost-evacuation": lostEvacuation,
+	"lost-evidence":   lostEvidence,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -27,8 +27,11 @@
 	// late returns whether a copy of this answer arrives late, at the point where the next answer on the connection is
 	// expected.
 	late func() bool
-	// failure returns the status with which a request fails after it has run, or 0.
-	failure func() int
+	// poison is the path of a request that crashes each server which begins to run it; crashed is called then.
+	poison  string
+	crashed func(s *server, id string)
+	// warmup is how long the server is slow after its start.
+	warmup time.Duration
 
 	mu       sync.Mutex
 	sequence int
@@ -92,8 +95,9 @@
 	if s.draining {
 		state = "draining"
 	}
+	warm := max(0, s.warmup-time.Since(time.UnixMilli(s.born)))
 	entry := map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "max-concurrency": s.slots,
-		"state": state, "warmup-left-ms": 0, "sequence": s.sequence, "born": s.born}
+		"state": state, "warmup-left-ms": warm.Milliseconds(), "sequence": s.sequence, "born": s.born}
 	s.mu.Unlock()
 	return s.store.put("servers/"+s.id, entry)
 }
@@ -161,16 +165,14 @@
 	defer s.leave()
 	s.runs.add(id, s.id)
 	s.record.line("server %s runs %s", s.id, id)
-	time.Sleep(s.work())
-	status := 200
-	if s.failure != nil {
-		if failed := s.failure(); failed != 0 {
-			status = failed
-			s.record.line("server %s fails %s, which has run, with %d", s.id, id, status)
-		}
+	if s.poison != "" && r.URL.Path == s.poison {
+		s.exit()
+		s.crashed(s, id)
+		return ""
 	}
+	time.Sleep(s.work())
 	seal := fmt.Sprintf("%s.%08x", id, rand.Uint32())
-	return s.text(status, id, "Response-Seal: "+seal+"\r\n", "body of "+id)
+	return s.text(200, id, "Response-Seal: "+seal+"\r\n", "body of "+id)
 }
 
 func (s *server) text(status int, id, header, body string) string {
