--- a/review/standin/large_config.go
+++ b/review/standin/large_config.go
@@ -123,14 +123,17 @@
 	return v.version, v.acknowledged
 }
 
-// largeDocument returns a configuration with a route of its version's own and idle routes. If size is not 0, the name of
+// largeDocument returns a configuration with a route of its version's own, that of the version before, and idle routes. If size is not 0, the name of
 // the last route is as long as it takes to reach it.
 func largeDocument(version, idle, size int) json.RawMessage {
 	route := func(name, prefix string) any {
 		return map[string]any{"name": name, "host": "hufi27.example", "prefix": prefix, "route-type": "idempotent", "timeout-ms": 3000,
 			"target-latency-ms": 200, "priority": 1, "service": "finder", "max-attempts": 2}
 	}
-	routes := []any{route("r-version", fmt.Sprintf("/version%d/", version))}
+	routes := []any{}
+	for v := max(1, version-1); v <= version; v++ { // a request that was sent just before the change is proper, too
+		routes = append(routes, route(fmt.Sprintf("r-version%d", v), fmt.Sprintf("/version%d/", v)))
+	}
 	for i := range idle {
 		routes = append(routes, route(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/idle%d/no%d/", i, i%97)))
 	}
