--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -19,7 +19,8 @@
 	slots, queue      int
 	work              func() time.Duration
 	address           string
-	born              int64
+	born              int64 // Unix milliseconds
+	started           time.Time
 	store             *store
 	record            *record
 	runs              *runs
@@ -71,7 +72,9 @@
 func (s *server) start() {
 	listener, err := net.Listen("tcp", loopback+":0")
 	check(err)
-	s.listener, s.address, s.born, s.conns = listener, listener.Addr().String(), time.Now().UnixMilli(), map[net.Conn]bool{}
+	s.listener, s.address, s.conns = listener, listener.Addr().String(), map[net.Conn]bool{}
+	s.started = time.Now()
+	s.born = s.started.Unix()*1000 + int64(s.started.Nanosecond())/1e6 // a time of day, as the pages say
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -95,7 +98,7 @@
 	if s.draining {
 		state = "draining"
 	}
-	warm := max(0, s.warmup-time.Since(time.UnixMilli(s.born)))
+	warm := max(0, s.warmup-time.Since(s.started))
 	entry := map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "max-concurrency": s.slots,
 		"state": state, "warmup-left-ms": warm.Milliseconds(), "sequence": s.sequence, "born": s.born}
 	s.mu.Unlock()
