exchange: a connection carries a request at most once

Cause: a target is full and refuses request X as not run. The next try of X goes to the same target on the same kept connection. A late second copy of the refusal arrives there before the answer to the new try, which the target runs. It bears the ID of X, as all tries do, so it is taken for the new answer, and X is sent again.

Ruled out with the record of the case: a refusal that was not true, a second host, a hedge.

Change: the pool records which connections have carried a request and never gives one of them to another try. At the connection limit an idle connection is closed to make room for a new one.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -99,6 +100,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", targetclient.ErrNotSent, err)
 	}
+	a.Request.carriers.add(conn)
 	var reply *Reply
 	var reusable bool
 	recovered := panics.Try(func() { reply, reusable, err = conn.exchange(ctx, a, p.codec) })
@@ -164,25 +166,49 @@
 		conns = &targetConns{address: a.Address}
 		p.targets[a.Target] = conns
 	}
-	now := time.Now()
-	for len(conns.idle) > 0 {
-		last := len(conns.idle) - 1
-		conn := conns.idle[last]
-		conns.idle = conns.idle[:last]
-		if conn.isUsable(now) {
-			p.counters.Reused.Add(1)
-			return conns, conn, nil
-		}
-		conn.Close()
-		conns.openCount--
+	if conn := conns.takeIdle(a.Request); conn != nil {
+		p.counters.Reused.Add(1)
+		return conns, conn, nil
 	}
-	if a.MaxConnections > 0 && conns.openCount >= a.MaxConnections {
+	if a.MaxConnections > 0 && conns.openCount >= a.MaxConnections && !conns.closeOldest() {
 		return nil, nil, errNoConnection
 	}
 	conns.openCount++
 	return conns, nil, nil
 }
 
+// takeIdle removes and returns the usable idle connection that was used last and has not carried the request, or nil. It
+// closes those that are no longer usable. The caller holds the pool's mutex.
+func (c *targetConns) takeIdle(request *Request) *connection {
+	now := time.Now()
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		conn := c.idle[i]
+		usable := conn.isUsable(now)
+		if usable && conn.hasCarried(request) {
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
+		if usable {
+			return conn
+		}
+		conn.Close()
+		c.openCount--
+	}
+	return nil
+}
+
+// closeOldest closes the idle connection that was used least recently, to make room for another one. It returns false if
+// there is none. The caller holds the pool's mutex.
+func (c *targetConns) closeOldest() bool {
+	if len(c.idle) == 0 {
+		return false
+	}
+	c.idle[0].Close()
+	c.idle = slices.Delete(c.idle, 0, 1)
+	c.openCount--
+	return true
+}
+
 // release returns a connection to the pool after an attempt, or closes it if it cannot carry another one.
 func (p *Pool) release(conns *targetConns, conn *connection, reusable bool) {
 	p.mu.Lock()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,7 +16,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
 )
 
-// Request is a caller's request, forwarded unchanged.
+// Request is a caller's request, forwarded unchanged. It must not be copied once it was sent.
 type Request struct {
 	// ID is the caller's request ID, which targets echo.
 	ID     string
@@ -27,6 +27,8 @@
 	// Header holds the end-to-end headers.
 	Header http.Header
 	Body   []byte
+
+	carriers carriers
 }
 
 // Attempt is a single transmission of a request to a target.
@@ -91,7 +93,8 @@
 func (r *Reply) OK() bool { return r.Status >= 200 && r.Status < 300 && r.Signature != "" && !r.NotRun }
 
 // belongsTo reports whether the reply may be taken for the answer to the request. Targets echo the ID of a request; a late
-// copy of an earlier answer has another one. An error reply of a target that has not read the request may have none.
+// copy of an earlier answer has another one, because a connection carries a request only once. An error reply of a target
+// that has not read the request may have no ID.
 func (r *Reply) belongsTo(request *Request) bool {
 	return r.RequestID == request.ID || r.RequestID == "" && !r.OK()
 }
--- /dev/null
+++ b/internal/exchange/late_copy_test.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/targetclient"
+)
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// TestLateCopyOfARefusalIsNotTheAnswerToTheNextTry guards against a request that runs twice: a target refuses it, runs it when it is
+// sent again, and sends a second copy of the refusal where the answer is due. The copy has the ID of the request, which all
+// tries share.
+func TestLateCopyOfARefusalIsNotTheAnswerToTheNextTry(t *testing.T) {
+	for name, limit := range map[string]int{"no limit": 0, "one connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			var tries, runs atomic.Int64
+			address, connections := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+				if tries.Add(1) == 1 {
+					io.WriteString(conn, refusal)
+					return true
+				}
+				if n > 0 {
+					io.WriteString(conn, refusal)
+				}
+				runs.Add(1)
+				io.WriteString(conn, reply(r.Header.Get("X-Id"), "body"))
+				return true
+			})
+			p := NewPool(testCodec{})
+			a := attemptAt(address, "a")
+			a.MaxConnections = limit
+			_, err := p.Do(t.Context(), a)
+			require.ErrorIs(t, err, targetclient.ErrShed)
+			got, err := p.Do(t.Context(), a)
+			require.NoError(t, err)
+			require.Equal(t, "body", string(got.Body))
+			require.EqualValues(t, 1, runs.Load())
+			require.EqualValues(t, 2, connections.Load())
+
+			another := attemptAt(address, "b")
+			another.MaxConnections = limit
+			_, err = p.Do(t.Context(), another)
+			require.NoError(t, err)
+			require.EqualValues(t, 2, connections.Load(), "another request uses a kept connection")
+		})
+	}
+}
