relay: a listing has the revision that its source states

Cause: a relay took the highest revision of the listed entries for the revision of the listing. A removal leaves no entry, so after the store had lost its history the relay answered "no changes" to hosts that had not seen the removal.

Change: follow.Sink.Reset passes on the revision of the listing, and the relay's log uses it. The stand-in of the store in the relay's tests can discard its history and list in two pages.

Related paths: positions of evidence come from a counter, and serve watches single keys; both need no change.

--- a/internal/evidencestore/evidencestore.go
+++ b/internal/evidencestore/evidencestore.go
@@ -178,7 +178,7 @@
 }
 
 // Reset implements follow.Sink.
-func (s *Store) Reset(entries []store.Entry) {
+func (s *Store) Reset(entries []store.Entry, _ store.Revision) {
 	s.mu.Lock()
 	clear(s.recorded)
 	s.mu.Unlock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -36,8 +36,8 @@
 
 // Sink receives the data read by a Follower. Its methods are called from a single goroutine.
 type Sink interface {
-	// Reset replaces all entries.
-	Reset(entries []store.Entry)
+	// Reset replaces all entries with a listing. The changes after the revision follow; entries may be later than it.
+	Reset(entries []store.Entry, revision store.Revision)
 	// Apply applies changes in revision order.
 	Apply(changes []store.Change)
 	// Lost is called after each failed call, Regained at the first successful call after failures.
@@ -126,7 +126,7 @@
 	}
 	f.recordSuccess()
 	f.revision, f.listed = revision, true
-	f.sink.Reset(entries)
+	f.sink.Reset(entries, revision)
 	return nil
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-func (c *recordingSink) Reset(entries []store.Entry) {
+func (c *recordingSink) Reset(entries []store.Entry, _ store.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, entry := range entries {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,9 +225,9 @@
 type multiSink []follow.Sink
 
 // Reset implements follow.Sink.
-func (s multiSink) Reset(entries []store.Entry) {
+func (s multiSink) Reset(entries []store.Entry, revision store.Revision) {
 	for _, sink := range s {
-		sink.Reset(entries)
+		sink.Reset(entries, revision)
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -81,7 +81,7 @@
 }
 
 // Reset implements follow.Sink.
-func (s *state) Reset(entries []store.Entry) {
+func (s *state) Reset(entries []store.Entry, listed store.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets := map[model.TargetID]bool{}
@@ -96,7 +96,8 @@
 		s.deleteTarget(id, 0)
 	}
 	s.lastConfirmed = monotime.Now()
-	s.logger.Info("store listed", zap.Int("entries", len(entries)), zap.Int("targets", len(targets)))
+	s.logger.Info("store listed", zap.Int("entries", len(entries)), zap.Int("targets", len(targets)),
+		zap.Uint64("revision", uint64(listed)))
 	s.publish()
 }
 
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -39,12 +39,12 @@
 func TestUnexpectedEntryIsIgnored(t *testing.T) {
 	s := newState(zap.NewNop(), panickingDecoder{}, forward.New(forward.Config{}), func() relay.Fleet { return relay.Fleet{} },
 		func(evidence.Instance) bool { return false })
-	s.Reset([]store.Entry{{Key: "a"}, {Key: "b", Value: []byte("panic")}, {Key: "c"}})
+	s.Reset([]store.Entry{{Key: "a"}, {Key: "b", Value: []byte("panic")}, {Key: "c"}}, 1)
 	require.Len(t, s.registry.Targets(), 2)
 	s.Apply([]store.Change{{Entry: store.Entry{Key: "d", Value: []byte("panic")}}, {Entry: store.Entry{Key: "e"}}})
 	require.Len(t, s.registry.Targets(), 3)
 	s.Apply([]store.Change{{Entry: store.Entry{Key: "panic"}}, {Entry: store.Entry{Key: "panic"}, Removed: true}, {Entry: store.Entry{Key: "f"}}})
 	require.Len(t, s.registry.Targets(), 4)
-	s.Reset([]store.Entry{{Key: "panic"}, {Key: "g"}})
+	s.Reset([]store.Entry{{Key: "panic"}, {Key: "g"}}, 1)
 	require.True(t, s.registry.Targets()[len(s.registry.Targets())-1].Target == "g")
 }
--- a/internal/relay/deployment_test.go
+++ b/internal/relay/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,8 +33,16 @@
 	// hangs selects the hosts whose calls for changes never return.
 	hangs map[model.HostID]bool
 	next  store.LeaseID
+	// compacted is the revision up to which the history was discarded.
+	compacted store.Revision
+	// pagePause is the time between the two pages of a listing. Keys from secondPage on are on the second.
+	pagePause time.Duration
+	// latency is the time that a call for changes takes at least.
+	latency time.Duration
 }
 
+const secondPage = "m"
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		revision: 1, entries: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, owner: map[string]store.LeaseID{},
@@ -71,6 +80,21 @@
 	}
 }
 
+// discardHistory discards all changes and wakes the calls that wait for some.
+func (s *fakeStore) discardHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.changes = s.revision, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(key, nil, true)
+}
+
 func (s *fakeStore) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,7 +134,18 @@
 }
 
 func (f hostFeed) List(_ context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	return f.list(prefix, 1)
+	entries, revision, err := f.list(prefix, 1)
+	f.mu.Lock()
+	pause := f.pagePause
+	f.mu.Unlock()
+	if err != nil || pause == 0 {
+		return entries, revision, err
+	}
+	time.Sleep(pause)
+	later, _, err := f.list(prefix, 1)
+	first := slices.DeleteFunc(entries, func(e store.Entry) bool { return e.Key >= secondPage })
+	second := slices.DeleteFunc(later, func(e store.Entry) bool { return e.Key < secondPage })
+	return append(first, second...), revision, err
 }
 
 func (f hostFeed) ListStale(_ context.Context, prefix string) ([]store.Entry, error) {
@@ -120,10 +155,18 @@
 
 func (f hostFeed) Changes(ctx context.Context, _ string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
 	end := time.Now().Add(wait)
+	f.mu.Lock()
+	latency := f.latency
+	f.mu.Unlock()
+	time.Sleep(latency)
 	for first := 1; ; first = 0 {
 		if err := f.startCall(first); err != nil {
 			return nil, 0, err
 		}
+		if after < f.compacted {
+			f.mu.Unlock()
+			return nil, 0, store.ErrHistoryLost
+		}
 		var found []store.Change
 		for _, change := range f.changes {
 			if change.Revision > after {
@@ -277,10 +320,11 @@
 	values    map[string]string
 }
 
-func (h *host) Reset(entries []store.Entry) {
-	h.Relay.Reset(entries)
+func (h *host) Reset(entries []store.Entry, revision store.Revision) {
+	h.Relay.Reset(entries, revision)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	clear(h.values)
 	for _, entry := range entries {
 		h.values[entry.Key] = string(entry.Value)
 	}
--- /dev/null
+++ b/internal/relay/listing_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/store"
+)
+
+// stableWindow is how long the store must have been undisturbed for the time bounds to hold.
+const stableWindow = 4 * time.Second
+
+// loseHistoryAfterChange makes all hosts pause after a change and meanwhile calls change and discards the history of the store, so
+// that the relays must list again.
+func (d *deployment) loseHistoryAfterChange(change func()) {
+	d.store.put("config", "changed")
+	time.Sleep(100 * time.Millisecond)
+	change()
+	time.Sleep(50 * time.Millisecond)
+	d.store.discardHistory()
+}
+
+// TestRemovalBeforeLostHistoryReachesEveryHost guards against hosts behind a relay that go on using a target which has left: a
+// removal leaves no entry, so no revision of a listed entry is as late as it.
+func TestRemovalBeforeLostHistoryReachesEveryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		d.store.put("target", "ready")
+		time.Sleep(stableWindow)
+		d.loseHistoryAfterChange(func() { d.store.remove("target") })
+		time.Sleep(stableWindow)
+		for _, h := range d.hosts {
+			require.Empty(t, h.value("target"), h.cfg.Host)
+		}
+	})
+}
+
+// TestWriteBetweenPagesReachesEveryHost guards against hosts that list from a relay and never learn of a data centre that was taken
+// out while the relay listed from a slow store: the entries of a later page have later revisions than the write, which the listing lacks.
+func TestWriteBetweenPagesReachesEveryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 8)
+		defer d.end()
+		d.store.mu.Lock()
+		d.store.pagePause, d.store.latency = 400*time.Millisecond, 100*time.Millisecond
+		d.store.mu.Unlock()
+		d.loseHistoryAfterChange(func() { d.store.put("target-1", "ready") })
+		time.Sleep(250 * time.Millisecond)
+		d.store.put("evacuated", "yes")
+		time.Sleep(50 * time.Millisecond)
+		d.store.put("target-2", "ready")
+		time.Sleep(stableWindow)
+		for _, h := range d.hosts {
+			require.Equal(t, "yes", h.value("evacuated"), h.cfg.Host)
+			require.Equal(t, "ready", h.value("target-2"), h.cfg.Host)
+		}
+	})
+}
+
+// TestRevisionOfAListingIsPassedOn guards against a host that is told of no changes although its listing lacks some, or that must
+// list again although it has them all.
+func TestRevisionOfAListingIsPassedOn(t *testing.T) {
+	l := newChangeLog()
+	l.reset([]store.Entry{{Key: "a", Revision: 5}, {Key: "b", Revision: 9}}, 7)
+	reply, _ := l.currentReply(pull{})
+	require.Equal(t, pullEntries, reply.Status)
+	require.EqualValues(t, 7, reply.Revision)
+	for after, status := range map[store.Revision]pullStatus{6: pullHistoryLost, 7: pullChanges, 9: pullChanges} {
+		reply, _ = l.currentReply(pull{After: after})
+		require.Equal(t, status, reply.Status, "after %d", after)
+	}
+	l.apply([]store.Change{{Entry: store.Entry{Key: "c", Revision: 8}}})
+	reply, _ = l.currentReply(pull{After: 7})
+	require.Len(t, reply.Changes, 1)
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -13,9 +13,10 @@
 
 // changeLog is a relay's copy of the keys, with a bounded history of changes. It is safe for concurrent use.
 type changeLog struct {
-	mu       sync.Mutex
-	entries  map[string]store.Entry
-	changes  []store.Change
+	mu      sync.Mutex
+	entries map[string]store.Entry
+	changes []store.Change
+	// revision is the one up to which the copy is complete. Entries may be later: the pages of a listing are not a snapshot.
 	revision store.Revision
 	// compactRevision is the revision after which the change history is complete.
 	compactRevision store.Revision
@@ -28,16 +29,16 @@
 	return &changeLog{entries: map[string]store.Entry{}, changed: make(chan struct{})}
 }
 
-// reset replaces all entries with a full listing and discards the change history.
-func (l *changeLog) reset(entries []store.Entry) {
+// reset replaces all entries with a full listing and discards the change history. The revision is that of the listing: those of
+// its entries say neither what was removed before it nor what was written between its pages.
+func (l *changeLog) reset(entries []store.Entry, revision store.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries = make(map[string]store.Entry, len(entries))
 	for _, entry := range entries {
 		l.entries[entry.Key] = entry
-		l.revision = max(l.revision, entry.Revision)
 	}
-	l.changes, l.compactRevision = nil, l.revision
+	l.revision, l.compactRevision, l.changes = revision, revision, nil
 	l.listed = true
 	l.notifyLocked()
 }
@@ -76,7 +77,7 @@
 	l.changed = make(chan struct{})
 }
 
-// latest returns the highest known revision.
+// latest returns the revision up to which the copy is complete.
 func (l *changeLog) latest() store.Revision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -217,10 +217,10 @@
 	return nil, nil
 }
 
-// Reset replaces all entries with a full listing.
-func (r *Relay) Reset(entries []store.Entry) {
+// Reset replaces all entries with a full listing, which the changes after the revision follow.
+func (r *Relay) Reset(entries []store.Entry, revision store.Revision) {
 	r.directory.reset(entries)
-	r.log.reset(entries)
+	r.log.reset(entries, revision)
 }
 
 // Apply applies incremental changes. A leader then announces its revision to the other relays, so that a relay whose
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -129,7 +129,6 @@
 // TestHostStartingBesideHangingRelayLearnsRemovals guards against a target that has left and is used again by a host that was
 // restarted, because the relay that it lists from is behind: its calls to the store hang.
 func TestHostStartingBesideHangingRelayLearnsRemovals(t *testing.T) {
-	const stableWindow = 4 * time.Second // of the rule DRAIN: a host is excused for as long after its start
 	for victims := 1; victims <= 2; victims++ {
 		synctest.Test(t, func(t *testing.T) {
 			d := deploy(t, 8)
@@ -196,7 +195,7 @@
 // TestPullBeforeOldestChangeReportsHistoryLost guards against gaps in the changes delivered to a host.
 func TestPullBeforeOldestChangeReportsHistoryLost(t *testing.T) {
 	l := newChangeLog()
-	l.reset([]store.Entry{{Key: "a", Revision: 5}})
+	l.reset([]store.Entry{{Key: "a", Revision: 5}}, 5)
 	for i := range maxLogChanges + 10 {
 		l.apply([]store.Change{{Entry: store.Entry{Key: "a", Revision: store.Revision(6 + i)}}})
 	}
