follow: drop changes that a listed entry already includes

A target that lapsed and registered again between two pages was removed once more by such a change, and the registration that followed was ignored as not newer than the removed one. Its entry does not change again until more than its sequence does, so a live target stayed unused.

Change: after a listing, the follower drops the changes that are earlier than the listed entry of their key.

TestListedEntryIsNotRemovedByAnEarlierChange fails without the change (the removal at 105 is applied after the entry of 120) and passes with it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +61,8 @@
 	rng    *rand.Rand
 
 	revision store.Revision
+	// ahead holds the revisions of the listed entries that are later than their listing, by key.
+	ahead    map[string]store.Revision
 	listed   bool
 	failures int
 	lostAt   time.Time
@@ -105,6 +108,7 @@
 	}
 	f.recordSuccess()
 	f.revision = max(f.revision, revision)
+	changes = f.withoutOutdated(changes)
 	if len(changes) == 0 {
 		return 0, nil
 	}
@@ -126,10 +130,31 @@
 	}
 	f.recordSuccess()
 	f.revision, f.listed = revision, true
+	f.ahead = map[string]store.Revision{}
+	for _, entry := range entries {
+		if entry.Revision > revision {
+			f.ahead[entry.Key] = entry.Revision
+		}
+	}
 	f.sink.Reset(entries, revision)
 	return nil
 }
 
+// withoutOutdated drops the changes that a listed entry already includes: the pages of a listing are not a snapshot. Without
+// this, an entry that was removed and written again between two pages would be removed once more.
+func (f *Follower) withoutOutdated(changes []store.Change) []store.Change {
+	if len(f.ahead) == 0 {
+		return changes
+	}
+	return slices.DeleteFunc(changes, func(change store.Change) bool {
+		listed, ok := f.ahead[change.Key]
+		if ok && change.Revision >= listed {
+			delete(f.ahead, change.Key)
+		}
+		return ok && change.Revision < listed
+	})
+}
+
 // recordSuccess records a successful call.
 func (f *Follower) recordSuccess() {
 	if f.failures > 0 {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,3 +244,51 @@
 		require.Equal(t, f.calls, lost)
 	})
 }
+
+// pagedSource is a Source whose listing has an entry that was removed and written again after the revision of the listing.
+type pagedSource struct{ listings atomic.Int64 }
+
+func (p *pagedSource) List(context.Context, string) ([]store.Entry, store.Revision, error) {
+	p.listings.Add(1)
+	return []store.Entry{{Key: "old", Revision: 90}, {Key: "target", Value: []byte("ready"), Revision: 120}}, 100, nil
+}
+
+func (p *pagedSource) Changes(ctx context.Context, _ string, after store.Revision, _ time.Duration) ([]store.Change, store.Revision, error) {
+	if after >= 130 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return []store.Change{
+		{Entry: store.Entry{Key: "target", Revision: 105}, Removed: true},
+		{Entry: store.Entry{Key: "old", Revision: 106}, Removed: true},
+		{Entry: store.Entry{Key: "target", Value: []byte("ready"), Revision: 120}},
+		{Entry: store.Entry{Key: "target", Revision: 130}, Removed: true},
+	}, 130, nil
+}
+
+// changesSink is a Sink that records changes.
+type changesSink struct {
+	*recordingSink
+	applied []store.Change
+}
+
+func (c *changesSink) Apply(changes []store.Change) { c.applied = append(c.applied, changes...) }
+
+// TestListedEntryIsNotRemovedByAnEarlierChange guards against a target that is lost although it is registered: a listing of several
+// pages has its entry, and the changes after the revision of the listing begin with the removal of the entry before.
+func TestListedEntryIsNotRemovedByAnEarlierChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, sink := &pagedSource{}, &changesSink{recordingSink: newRecordingSink()}
+		ctx, cancel := context.WithCancel(t.Context())
+		go New(zap.NewNop(), source, "", sink).Run(ctx)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		revisions := make([]store.Revision, len(sink.applied))
+		for i, change := range sink.applied {
+			revisions[i] = change.Revision
+		}
+		require.Equal(t, []store.Revision{106, 120, 130}, revisions)
+		require.EqualValues(t, 1, source.listings.Load())
+	})
+}
