relay: reject the listing of a relay that is behind

A host that must list again takes the listing of the first relay that answers. If that relay is behind, the host goes back to an older state: a target that it knew to have left, or a data centre that it knew to be out, is in use again until the relay catches up.

Change: a listing is accepted only if its revision is at least the one up to which this host's copy is complete. The next relay is asked, and the store once no relay answers.

TestListingOfARelayThatIsBehindIsRejected fails without the change (the listing of revision 2 is accepted) and passes with it.

--- a/internal/relay/listing_test.go
+++ b/internal/relay/listing_test.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
@@ -77,3 +79,22 @@
 	reply, _ = l.currentReply(pull{After: 7})
 	require.Len(t, reply.Changes, 1)
 }
+
+// TestListingOfARelayThatIsBehindIsRejected guards against a host that uses a target again which it knows to have left: its relay was
+// lost together with the history, and the next one that it lists from is behind.
+func TestListingOfARelayThatIsBehindIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deploy(t, 1)
+		defer d.end()
+		h, behind := d.hosts[0], d.hosts[1]
+		behind.transport.handlers[kindPull] = func(context.Context, peer.Sender, func(any) error) (any, error) {
+			return pullReply{Status: pullEntries, Entries: []store.Entry{{Key: "target", Revision: 1}}, Revision: 2}, nil
+		}
+		d.store.mu.Lock()
+		d.store.refuses[h.cfg.Host] = true
+		d.store.mu.Unlock()
+		require.Greater(t, h.log.latest(), store.Revision(2))
+		_, _, err := h.List(t.Context(), "")
+		require.ErrorIs(t, err, errNoRelay)
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -254,10 +254,15 @@
 			return entries, revision, nil
 		}
 	}
-	reply, err := r.pullFromAny(ctx, pull{}, acceptAny)
+	reply, err := r.pullFromAny(ctx, pull{}, r.isFresh)
 	return reply.Entries, reply.Revision, err
 }
 
+// isFresh rejects listings that are older than what this host has already seen: they would undo removals.
+func (r *Relay) isFresh(reply *pullReply) bool {
+	return reply.Status != pullEntries || reply.Revision >= r.log.latest()
+}
+
 // Changes waits for changes after the revision, from the store or a relay.
 func (r *Relay) Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error) {
 	if leaders := r.leaders(); len(leaders) > 0 {
