relay: a stale listing of the slots adds only what is new

A host that finds all slots taken lists them with a call whose result may be seconds old, and replaced what it had followed with it. It then forgot relays that had registered since, or asked relays that had left, until the slot changed again; a slot is renewed without a change.

Change: the directory knows the revision up to which its slots are followed and takes only later ones from a stale listing.

TestStaleListingOfSlotsAddsOnlyNews fails with the former behaviour (the directory has the relay that left and lacks the first one) and passes now.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -26,6 +26,8 @@
 
 	mu    sync.Mutex
 	slots map[string]slotRecord
+	// followed is the revision up to which the slots are complete; 0 before the first listing of the followed store.
+	followed store.Revision
 	// unresponsiveUntil and sourceLostUntil are the times until which a relay is ranked last: because it did not answer,
 	// or because it answered that its source of changes fails. The latter still executes queries.
 	unresponsiveUntil map[model.HostID]time.Time
@@ -51,13 +53,27 @@
 	}
 }
 
-// reset replaces the known slots with those in a full listing.
-func (d *directory) reset(entries []store.Entry) {
+// reset replaces the known slots with those in a full listing, which the changes after the revision follow.
+func (d *directory) reset(entries []store.Entry, revision store.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.slots = map[string]slotRecord{}
+	d.followed = 0
+	d.learnLocked(entries)
+	d.followed = revision
+}
+
+// learn adds the slots of a listing that may be stale. Only slots that are later than the followed changes are news: the others
+// may have been removed or replaced since.
+func (d *directory) learn(entries []store.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learnLocked(entries)
+}
+
+func (d *directory) learnLocked(entries []store.Entry) {
 	for _, entry := range entries {
-		if r, ok := decodeSlot(entry); ok {
+		if r, ok := decodeSlot(entry); ok && entry.Revision > d.followed {
 			d.slots[entry.Key] = r
 		}
 	}
@@ -73,6 +89,7 @@
 		} else if r, ok := decodeSlot(change.Entry); ok {
 			d.slots[change.Key] = r
 		}
+		d.followed = max(d.followed, change.Revision)
 	}
 }
 
--- a/internal/relay/listing_test.go
+++ b/internal/relay/listing_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
@@ -98,3 +100,26 @@
 		require.ErrorIs(t, err, errNoRelay)
 	})
 }
+
+// TestStaleListingOfSlotsAddsOnlyNews guards against a host that forgets a relay, or asks one that is gone, because a listing that is
+// seconds old replaces what it has followed since.
+func TestStaleListingOfSlotsAddsOnlyNews(t *testing.T) {
+	slot := func(number int, host string, revision store.Revision) store.Entry {
+		value, err := json.Marshal(slotRecord{Host: model.HostID(host), Address: host, DataCentre: "dc"})
+		require.NoError(t, err)
+		return store.Entry{Key: slotKey("dc", number), Value: value, Revision: revision}
+	}
+	hosts := func(d *directory) (found []model.HostID) {
+		for _, r := range d.relays(time.Now()) {
+			found = append(found, r.Host)
+		}
+		return found
+	}
+	d := newDirectory(slotRecord{Host: "self", DataCentre: "dc"})
+	d.learn([]store.Entry{slot(0, "first", 4)})
+	require.ElementsMatch(t, []model.HostID{"first"}, hosts(d), "nothing was followed yet")
+	d.reset([]store.Entry{slot(0, "first", 4), slot(1, "gone", 5)}, 7)
+	d.apply([]store.Change{{Entry: store.Entry{Key: slotKey("dc", 1), Revision: 8}, Removed: true}})
+	d.learn([]store.Entry{slot(1, "gone", 5), slot(2, "new", 9)})
+	require.ElementsMatch(t, []model.HostID{"first", "new"}, hosts(d))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -219,7 +219,7 @@
 
 // Reset replaces all entries with a full listing, which the changes after the revision follow.
 func (r *Relay) Reset(entries []store.Entry, revision store.Revision) {
-	r.directory.reset(entries)
+	r.directory.reset(entries, revision)
 	r.log.reset(entries, revision)
 }
 
--- a/internal/relay/slot.go
+++ b/internal/relay/slot.go
@@ -93,7 +93,7 @@
 		_ = ctxtime.Sleep(ctx, slotCheckInterval/2) // the caller's loop ends with the context
 		return
 	}
-	k.directory.reset(entries)
+	k.directory.learn(entries)
 	k.listed.Store(true)
 }
 
