exchange: a reply that names no request ends its connection's use

A health answer names no request. A late copy of it, for example a 503 of a target that is not healthy, was taken for the answer to the next request on the connection and passed on as a 503, which promises that the request did not run; the target was running it.

Change: a connection on which a reply without an ID was accepted is not used again. Only probes and targets that name no request cost a new connection for it.

TestLateCopyOfAHealthAnswerIsNotAnAnswer fails without the change ("answered with a failure") and passes with it.

--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -143,7 +143,9 @@
 			continue
 		}
 		c.recordKeepAlive(response.Header)
-		return reply, framed && !response.Close && c.reader.Buffered() == 0, nil
+		// A late copy of a reply that names no request could not be told from a later reply.
+		named := reply.RequestID != ""
+		return reply, named && framed && !response.Close && c.reader.Buffered() == 0, nil
 	}
 	return nil, false, errOtherReplies
 }
--- a/internal/exchange/late_copy_test.go
+++ b/internal/exchange/late_copy_test.go
@@ -52,3 +52,28 @@
 		})
 	}
 }
+
+// TestLateCopyOfAHealthAnswerIsNotAnAnswer guards against a request that is refused although it runs: the target says in a health
+// check that it is not available, and sends a second copy of that on the connection's next request. A health answer names no
+// request.
+func TestLateCopyOfAHealthAnswerIsNotAnAnswer(t *testing.T) {
+	const unhealthy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	address, _ := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		if r.URL.Path == "/health" || n > 0 {
+			io.WriteString(conn, unhealthy)
+		}
+		if r.URL.Path != "/health" {
+			io.WriteString(conn, reply(r.Header.Get("X-Id"), "body"))
+		}
+		return true
+	})
+	p := NewPool(testCodec{})
+	probe := attemptAt(address, "")
+	probe.Request.URI = "/health"
+	health, err := p.Probe(t.Context(), probe)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, health.Status)
+	got, err := do(t, p, address, "a")
+	require.NoError(t, err)
+	require.Equal(t, "body", string(got.Body))
+}
