gateway: a server's 503 is no promise unless it says that it did not run

A server that answered 503, 429 or 408 without the header that states that it did not run the request was passed on unchanged. For a request that may not be repeated, callers take these statuses for a promise and send it again.

Change: such an answer to a request that may not be repeated becomes a 502 of the gateway's own, without the server's signature. Requests that may be repeated get the server's answer as before.

TestRefusalOfAServerThatMayHaveRunIsNoPromise fails without the change for 408, 429 and 503, and passes with it; 500 is passed on in both.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -216,6 +216,9 @@
 	switch {
 	case outcome.Err != nil:
 		h.writeError(w, outcome.Err)
+	case outcome.Failure != nil && !request.Route.Repeatable && promisesNotRun(outcome.Failure.Status):
+		h.writeError(w, fault.New(fault.TargetFailed, fault.OutcomeUnknown, "repeat the request if it may run twice",
+			"a target answered %d without stating that the request did not run", outcome.Failure.Status))
 	case outcome.Failure != nil:
 		h.writeReply(w, outcome.Failure)
 	case len(request.Route.Shards) > 0:
@@ -225,6 +228,15 @@
 	}
 }
 
+// promisesNotRun reports whether a caller takes the status for a promise that its request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // writeReply writes a target's reply unchanged.
 func (h *callerHandler) writeReply(w http.ResponseWriter, reply *exchange.Reply) {
 	header := w.Header()
