httpreply: long heads and short replies and the memory of a host

Shown here: 400 requests to a server whose heads never end took 220 MB on a host with memory_mb 64. Each connection could hold a head of 64 KiB, a parsed head takes ten times its bytes, and none of it was charged. Bodies were charged, but then every other reply was refused (502) while endless bodies held the whole account, also one of a few bytes.

Change: what a head has beyond its first 4 KiB is charged with the memory that it takes when parsed, a head has 16 KiB at most, and the first 4 KiB of a body are not charged, so that ordinary replies are read whatever else goes on. The number of connections bounds what is not charged.

TestLongHeadsAreCharged guards the account.

Open: a reply of more than 4 KiB can still be refused while endless bodies hold the account; a share for each service would isolate them.

--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -10,13 +10,20 @@
 )
 
 const (
-	// MaxHeadBytes bounds the status line and the headers of a reply. Real ones have less than 1 KiB.
-	MaxHeadBytes = 64 << 10
+	// MaxHeadBytes bounds the status line and the headers of a reply. Real ones have less than 1 KiB; each byte can take
+	// headOverhead bytes of memory on every connection.
+	MaxHeadBytes = 16 << 10
 	// MaxBodyBytes bounds the body of a reply whose reader sets no lower limit.
 	MaxBodyBytes = 8 << 20
 	// framingFactor bounds the bytes of a chunked body on the wire as a multiple of its content. A chunk of one byte
 	// takes six.
 	framingFactor = 8
+	// freeHeadBytes and freeBodyBytes are the parts of a head and of a body that are not charged. Ordinary replies are shorter, so
+	// that they are read also while other replies have taken all memory; the number of connections bounds what they take.
+	freeHeadBytes = 4 << 10
+	freeBodyBytes = 4 << 10
+	// headOverhead is the memory that a parsed head takes for each of its bytes: many short lines take ten times their length.
+	headOverhead = 12
 	// firstBufferBytes is the initial size of the buffer of a body. The buffer grows with the bytes that arrive, not with
 	// the length that the peer states.
 	firstBufferBytes = 512
@@ -42,11 +49,13 @@
 	return r
 }
 
-// Read reads the next reply to the request, with a body of at most maxBody bytes, which are charged to the account. After
-// an error the connection cannot be used any more.
+// Read reads the next reply to the request, with a body of at most maxBody bytes. The body and the memory of a long head are
+// charged to the account. After an error the connection cannot be used any more.
 func (r *Reader) Read(request *http.Request, maxBody int64, memory *Account) (*http.Response, []byte, error) {
 	r.source.left = MaxHeadBytes
+	r.source.head = &headCharge{memory: memory, free: freeHeadBytes}
 	response, err := http.ReadResponse(r.Reader, request)
+	r.source.head = nil
 	if err != nil {
 		return nil, nil, r.source.explain(err)
 	}
@@ -68,7 +77,7 @@
 	for {
 		if len(body) == cap(body) {
 			grown := max(firstBufferBytes, 2*cap(body))
-			if !memory.Take(int64(grown - cap(body))) {
+			if !memory.Take(int64(max(grown, freeBodyBytes) - max(cap(body), freeBodyBytes))) {
 				return nil, ErrNoMemory
 			}
 			body = append(make([]byte, 0, grown), body...)
@@ -86,15 +95,37 @@
 	}
 }
 
+// headCharge charges the bytes of a head to an account, except the first ones.
+type headCharge struct {
+	memory *Account
+	free   int64
+}
+
+// add charges further bytes of the head. It returns false if the account has no room for them.
+func (h *headCharge) add(bytes int64) bool {
+	free := min(h.free, bytes)
+	h.free -= free
+	charged := bytes - free
+	return charged == 0 || h.memory.Take(headOverhead*charged)
+}
+
 // source passes on at most left bytes of a connection.
 type source struct {
 	connection io.Reader
 	left       int64
+	// head is nil while no head is read.
+	head *headCharge
+	// full means that the account had no room for the head.
+	full bool
 }
 
-// explain returns ErrTooLong for an error after the last allowed byte. Parsers report a line that ends there as malformed.
+// explain returns ErrTooLong for an error after the last allowed byte, and ErrNoMemory for one after the last byte that the account
+// has room for. Parsers report a line that ends there as malformed.
 func (s *source) explain(err error) error {
-	if s.left <= 0 && !errors.Is(err, ErrTooLong) {
+	switch {
+	case s.full && !errors.Is(err, ErrNoMemory):
+		return errors.Join(ErrNoMemory, err)
+	case s.left <= 0 && !errors.Is(err, ErrTooLong):
 		return errors.Join(ErrTooLong, err)
 	}
 	return err
@@ -107,5 +138,9 @@
 	}
 	n, err := s.connection.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
+	if s.head != nil && !s.head.add(int64(n)) {
+		s.full = true
+		return 0, ErrNoMemory
+	}
 	return n, err
 }
--- a/internal/httpreply/httpreply_test.go
+++ b/internal/httpreply/httpreply_test.go
@@ -1,7 +1,9 @@
 package httpreply
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -151,3 +153,33 @@
 		}
 	})
 }
+
+// TestLongHeadsAreCharged guards the memory of the process against heads that are long and never end: a parsed head takes several
+// times its bytes, and a target can hold many connections that long.
+func TestLongHeadsAreCharged(t *testing.T) {
+	read := func(head string, memory *Account) error {
+		_, _, err := NewReader(strings.NewReader(head), 4<<10).Read(&http.Request{Method: http.MethodGet}, testBodyLimit, memory)
+		return err
+	}
+	ordinary := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: " + strings.Repeat("y", 1000) + "\r\n\r\n"
+	long := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 2000)
+	process := NewAccount(1 << 20)
+	require.NoError(t, read(ordinary, process))
+	require.Zero(t, process.Used())
+	for range 3 {
+		first, second := process.Open(1<<20), process.Open(1<<20)
+		require.ErrorIs(t, read(long, first), io.ErrUnexpectedEOF)
+		require.Greater(t, process.Used(), int64(len(long)))
+		var held []*Account
+		for err := io.ErrUnexpectedEOF; !errors.Is(err, ErrNoMemory); err = read(long, second) {
+			require.Less(t, len(held), 20)
+			held = append(held, second)
+			second = process.Open(1 << 20)
+		}
+		require.LessOrEqual(t, process.Used(), int64(1<<20))
+		for _, memory := range append(held, first, second) {
+			memory.Release()
+		}
+		require.Zero(t, process.Used())
+	}
+}
