targetclient: bound the replies that are being read, and give up at once

Besides, a reply that was given up was still read to its end, because net/http reads the rest of a body when it is closed; a faulty target sends that without end and kept the connection in use.

--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, nil, r.source.explain(err)
 	}
-	defer response.Body.Close()
+	// The body is not closed: that would read what a peer goes on sending. It holds nothing but the connection.
 	r.source.left = framingFactor*maxBody + MaxHeadBytes
 	body, err := readBody(response, maxBody, memory)
 	if err != nil {
--- a/internal/httpreply/httpreply_test.go
+++ b/internal/httpreply/httpreply_test.go
@@ -183,3 +183,12 @@
 		require.Zero(t, process.Used())
 	}
 }
+
+// TestRefusedReplyIsNotReadToItsEnd guards against a connection that stays in use because the rest of a reply that was given up is
+// still read, which a faulty peer sends without end.
+func TestRefusedReplyIsNotReadToItsEnd(t *testing.T) {
+	source := &endless{beginning: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", testBodyLimit), repeated: "body"}
+	_, _, err := NewReader(source, 4<<10).Read(&http.Request{Method: http.MethodGet}, testBodyLimit, NewAccount(freeBodyBytes))
+	require.ErrorIs(t, err, ErrNoMemory)
+	require.LessOrEqual(t, source.read, int64(2*(freeHeadBytes+freeBodyBytes)))
+}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -166,6 +166,9 @@
 	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 }
 
+// maxWatchBytes bounds the messages of one watch, which the caller starts again after it: two values in base64.
+const maxWatchBytes = 4 * MaxValueBytes
+
 // Watch implements Store.
 func (h *HTTP) Watch(ctx context.Context, key string, after Revision) (Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
@@ -177,7 +180,7 @@
 		return Entry{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxWatchBytes))
 	for {
 		var message watchResponse
 		if err := decoder.Decode(&message); err != nil {
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -11,7 +11,13 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
-const readBufferSize = 16 << 10
+const (
+	readBufferSize = 16 << 10
+	// incompleteBytes bounds the replies of all targets that are being read, which may never end.
+	incompleteBytes = 64 << 20
+	// maxReplyMemory bounds the memory of one of them: the buffer of a body doubles.
+	maxReplyMemory = 3 * httpreply.MaxBodyBytes
+)
 
 // connection is a persistent HTTP/1.1 connection that carries one request at a time. Its reader goroutine also reads while
 // the connection is idle, to detect closed connections before they are reused and bytes that no request expects.
@@ -19,6 +25,8 @@
 	conn   net.Conn
 	reader *httpreply.Reader
 	opened time.Time
+	// incomplete is charged for a reply while it is read.
+	incomplete *httpreply.Account
 	// lastReplyAt is the monotime of the last complete reply.
 	lastReplyAt atomic.Int64
 	// pending is the request whose reply is awaited, or nil.
@@ -39,13 +47,14 @@
 	last bool
 }
 
-func newConnection(conn net.Conn) *connection {
+func newConnection(conn net.Conn, incomplete *httpreply.Account) *connection {
 	c := &connection{
-		conn:    conn,
-		reader:  httpreply.NewReader(conn, readBufferSize),
-		opened:  time.Now(),
-		replies: make(chan httpReply, 1),
-		closed:  make(chan struct{}),
+		incomplete: incomplete,
+		conn:       conn,
+		reader:     httpreply.NewReader(conn, readBufferSize),
+		opened:     time.Now(),
+		replies:    make(chan httpReply, 1),
+		closed:     make(chan struct{}),
 	}
 	c.lastReplyAt.Store(int64(monotime.Now()))
 	return c
@@ -78,7 +87,9 @@
 }
 
 func (c *connection) readReply(request *http.Request, checksumHeader string) (httpReply, error) {
-	response, body, err := c.reader.Read(request, httpreply.MaxBodyBytes, nil)
+	memory := c.incomplete.Open(maxReplyMemory)
+	defer memory.Release()
+	response, body, err := c.reader.Read(request, httpreply.MaxBodyBytes, memory)
 	if err != nil {
 		return httpReply{}, err
 	}
--- a/internal/targetclient/http.go
+++ b/internal/targetclient/http.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/httpreply"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetwire"
 )
@@ -38,6 +39,8 @@
 type HTTP struct {
 	dial     Dial
 	counters Counters
+	// incomplete is charged for the replies that are being read.
+	incomplete *httpreply.Account
 
 	mu    sync.RWMutex
 	limit int
@@ -56,7 +59,9 @@
 
 // NewHTTPWithDial returns a client that opens its connections with dial.
 func NewHTTPWithDial(maxConnections int, dial Dial) *HTTP {
-	return &HTTP{dial: dial, limit: maxConnections, pools: map[model.TargetID]*pool{}}
+	return &HTTP{
+		dial: dial, limit: maxConnections, pools: map[model.TargetID]*pool{}, incomplete: httpreply.NewAccount(incompleteBytes),
+	}
 }
 
 // SetLimit changes the maximum number of connections to a target. Surplus connections are closed once they are idle.
@@ -106,7 +111,7 @@
 		if p != nil {
 			p.close()
 		}
-		p = &pool{address: target.Address, dial: h.dial, counters: &h.counters, limit: h.limit}
+		p = &pool{address: target.Address, dial: h.dial, counters: &h.counters, incomplete: h.incomplete, limit: h.limit}
 		h.pools[target.ID] = p
 	}
 	return p
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/httpreply"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/targetwire"
@@ -30,6 +31,8 @@
 	address  string
 	dial     Dial
 	counters *Counters
+	// incomplete is charged for the replies that are being read; all pools share it.
+	incomplete *httpreply.Account
 
 	mu    sync.Mutex
 	limit int
@@ -197,7 +200,7 @@
 		conn.Close()
 		return
 	}
-	c := newConnection(conn)
+	c := newConnection(conn, p.incomplete)
 	go p.runReader(c)
 	p.idle = append(p.idle, c)
 	p.closeSurplus()
