relay: listings and changes fit into frames between hosts

Shown here: a relay's reply to a pull holds the whole listing, or all changes, in one frame of at most 1 MiB. With one entry of about that size it can't be encoded, nothing is sent, and the hosts behind the relay wait for their call to time out, for each relay and again at the next pull.

Change: a listing is read page by page, and changes in parts that don't divide a revision, each of about 256 KiB or one entry; the largest value fits into a frame beside that. A page that is older than the first one is rejected, because another relay may answer. Hosts of earlier versions get whole listings as before. A reply that still fits into no frame fails its call at once.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -18,8 +18,9 @@
 
 const (
 	minKeyBytes = 16
-	// MaxFrameBytes bounds the size of a frame's authentication code and envelope together.
-	MaxFrameBytes = 1 << 20
+	// MaxFrameBytes bounds the size of a frame's authentication code and envelope together. The largest value of the store, 1 MiB,
+	// fits beside half as much of anything else.
+	MaxFrameBytes = 3 << 19
 	lengthBytes   = 4
 	macBytes      = 16
 	// maxKeys is two to support key rotation: the new key signs while the old key still verifies.
@@ -38,7 +39,7 @@
 )
 
 var (
-	errFrameTooLong   = errors.New("peer: frame exceeds 1 MiB; split the message")
+	errFrameTooLong   = errors.New("peer: frame exceeds 1.5 MiB; split the message")
 	errAuthentication = errors.New("peer: frame authentication failed; check that both hosts have the same fleet key")
 	errFrameTooShort  = errors.New("peer: frame is shorter than its authentication code")
 	errEnvelope       = errors.New("peer: invalid msgpack in the envelope")
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -127,15 +127,13 @@
 
 func (in *inboundConn) reply(sequence uint64, kind Kind, body any) {
 	t := in.transport
-	raw, err := Marshal(body)
-	if err != nil {
-		t.logger.Error("reply to a peer can't be encoded", zap.Error(err))
-		return
-	}
-	frame, err := t.encodeFrame(sequence, kind, raw)
+	frame, err := t.encodeReply(sequence, kind, body)
 	if err != nil {
 		t.logger.Error("reply frame to a peer can't be encoded", zap.Error(err))
-		return
+		// The peer would otherwise wait until its call times out.
+		if frame, err = t.encodeReply(sequence, kindFailed, err.Error()); err != nil {
+			return
+		}
 	}
 	select {
 	case in.replies <- frame:
@@ -144,6 +142,14 @@
 	}
 }
 
+func (t *FrameTransport) encodeReply(sequence uint64, kind Kind, body any) ([]byte, error) {
+	raw, err := Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return t.encodeFrame(sequence, kind, raw)
+}
+
 func (in *inboundConn) writeReplies(ctx context.Context) {
 	for {
 		select {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -68,6 +68,7 @@
 	transport.Handle("slow", answerSlowly)
 	transport.Handle("note", h.countOneWay)
 	transport.Handle("panic", answerPanic)
+	transport.Handle("huge", answerTooMuch)
 	listener, err := cfg.Network.Listen(address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -251,6 +252,24 @@
 	})
 }
 
+func answerTooMuch(context.Context, peer.Sender, func(any) error) (any, error) {
+	return text{string(make([]byte, peer.MaxFrameBytes))}, nil
+}
+
+// TestReplyOverTheLimitFailsAtOnce guards against a call that waits for its timeout because the reply fits into no frame.
+func TestReplyOverTheLimitFailsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		a := start(t, network, "a", 1, "a:1", newKey)
+		start(t, network, "b", 1, "b:1", newKey)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		require.ErrorContains(t, a.Call(ctx, "b:1", "huge", "x", &text{}), "split the message")
+		require.Less(t, time.Since(began), time.Second)
+	})
+}
+
 // TestPanickingHandlerEndsItsCallOnly guards against one frame that takes the process down: the caller gets an error, and
 // the same connection goes on to serve calls.
 func TestPanickingHandlerEndsItsCallOnly(t *testing.T) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -2,19 +2,30 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
-// maxLogChanges limits the change history of a relay. A host that is further behind must list all entries again.
-const maxLogChanges = 4096
+const (
+	// maxLogChanges limits the change history of a relay. A host that is further behind must list all entries again.
+	maxLogChanges = 4096
+	// replyBytes limits the entries or changes of a reply, of which there is at least one. Together with a value of the largest
+	// size that the store takes, they fit into a frame.
+	replyBytes = 256 << 10
+	// entryOverhead is the size of an entry in a reply beside its key and its value, in bytes.
+	entryOverhead = 32
+)
 
 // changeLog is a relay's copy of the keys, with a bounded history of changes. It is safe for concurrent use.
 type changeLog struct {
 	mu      sync.Mutex
 	entries map[string]store.Entry
+	// keys holds the keys of the entries in order, or nil if they are to be determined.
+	keys    []string
 	changes []store.Change
 	// revision is the one up to which the copy is complete. Entries may be later: the pages of a listing are not a snapshot.
 	revision store.Revision
@@ -38,6 +49,7 @@
 	for _, entry := range entries {
 		l.entries[entry.Key] = entry
 	}
+	l.keys = nil
 	l.revision, l.compactRevision, l.changes = revision, revision, nil
 	l.listed = true
 	l.notifyLocked()
@@ -48,6 +60,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, change := range changes {
+		if _, known := l.entries[change.Key]; known == change.Removed {
+			l.keys = nil
+		}
 		if change.Removed {
 			delete(l.entries, change.Key)
 		} else {
@@ -115,17 +130,53 @@
 		reply.Status = pullUnavailable
 	case p.After == 0:
 		reply.Status = pullEntries
-		for _, entry := range l.entries {
-			reply.Entries = append(reply.Entries, entry)
-		}
+		reply.Entries, reply.More = l.pageLocked(p)
 	case p.After < l.compactRevision:
 		reply.Status = pullHistoryLost
 	default:
-		for _, change := range l.changes {
-			if change.Revision > p.After {
-				reply.Changes = append(reply.Changes, change)
-			}
-		}
+		reply.Changes, reply.Revision = l.changesLocked(p.After)
 	}
 	return reply, l.changed
 }
+
+// pageLocked returns the entries of the page that a pull asks for, and whether further ones follow. The caller holds l.mu.
+func (l *changeLog) pageLocked(p pull) (page []store.Entry, more bool) {
+	if l.keys == nil {
+		l.keys = slices.Sorted(maps.Keys(l.entries))
+	}
+	next, found := slices.BinarySearch(l.keys, p.Page)
+	if found {
+		next++
+	}
+	size := 0
+	for _, key := range l.keys[next:] {
+		if p.Paged && size >= replyBytes {
+			return page, true
+		}
+		entry := l.entries[key]
+		page = append(page, entry)
+		size += sizeOf(&entry)
+	}
+	return page, false
+}
+
+// changesLocked returns the changes after a revision and the revision that they reach. The changes of one revision are not divided.
+// The caller holds l.mu.
+func (l *changeLog) changesLocked(after store.Revision) ([]store.Change, store.Revision) {
+	var found []store.Change
+	size := 0
+	for i := range l.changes {
+		change := &l.changes[i]
+		if change.Revision <= after {
+			continue
+		}
+		if last := len(found) - 1; size >= replyBytes && found[last].Revision < change.Revision {
+			return found, found[last].Revision
+		}
+		found = append(found, *change)
+		size += sizeOf(&change.Entry)
+	}
+	return found, l.revision
+}
+
+func sizeOf(entry *store.Entry) int { return len(entry.Key) + len(entry.Value) + entryOverhead }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -38,6 +38,10 @@
 	Large bool
 	// News hands over evidence and asks for what the relay has after a position.
 	News newsRequest
+	// Paged means that the host reads a listing page by page. Page is the last key of the previous page. Hosts of earlier versions
+	// send neither and get the whole listing.
+	Paged bool
+	Page  string
 }
 
 // moved tells a relay that another one has answered the sender's pull with this number, and counts the sender.
@@ -68,6 +72,8 @@
 	Large int
 	// News is the relay's evidence that the host may lack.
 	News evidence.Batch
+	// More means that further entries follow the last one, in the order of the keys.
+	More bool
 }
 
 // census tells the other relays how many hosts the sender counts and which revision it has reached.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -254,13 +254,31 @@
 			return entries, revision, nil
 		}
 	}
-	reply, err := r.pullFromAny(ctx, pull{}, r.isFresh)
-	return reply.Entries, reply.Revision, err
+	return r.listFromRelays(ctx)
 }
 
-// isFresh rejects listings that are older than what this host has already seen: they would undo removals.
-func (r *Relay) isFresh(reply *pullReply) bool {
-	return reply.Status != pullEntries || reply.Revision >= r.log.latest()
+// listFromRelays reads a listing page by page. Its revision is that of the first page, because the pages are not a snapshot. A page
+// that is older than the first one, or than what this host has already seen, is rejected: it would undo changes.
+func (r *Relay) listFromRelays(ctx context.Context) ([]store.Entry, store.Revision, error) {
+	var entries []store.Entry
+	revision := store.Revision(0)
+	oldest := r.log.latest()
+	isFresh := func(reply *pullReply) bool { return reply.Status != pullEntries || reply.Revision >= oldest }
+	for page := ""; ; {
+		reply, err := r.pullFromAny(ctx, pull{Paged: true, Page: page}, isFresh)
+		if err != nil {
+			return nil, 0, err
+		}
+		if page == "" {
+			revision = reply.Revision
+			oldest = revision
+		}
+		entries = append(entries, reply.Entries...)
+		if !reply.More || len(reply.Entries) == 0 {
+			return entries, revision, nil
+		}
+		page = reply.Entries[len(reply.Entries)-1].Key
+	}
 }
 
 // Changes waits for changes after the revision, from the store or a relay.
