--- a/internal/relay/deployment_test.go
+++ b/internal/relay/deployment_test.go
@@ -265,6 +265,10 @@
 	other := t.network.hosts[address]
 	t.network.sent[kind]++
 	cut := other == nil || other.down || t.down || t.network.dropped[kind]
+	var handler peer.Handler
+	if other != nil {
+		handler = other.handlers[kind]
+	}
 	t.network.mu.Unlock()
 	if cut {
 		time.Sleep(10 * time.Millisecond)
@@ -276,7 +280,7 @@
 	}
 	answers := make(chan any, 1)
 	go func() {
-		answer, _ := other.handlers[kind](ctx, t.self, func(into any) error { return msgpack.Unmarshal(encoded, into) })
+		answer, _ := handler(ctx, t.self, func(into any) error { return msgpack.Unmarshal(encoded, into) })
 		answers <- answer
 	}()
 	answer, err := t.await(ctx, other, answers)
--- a/internal/relay/listing_test.go
+++ b/internal/relay/listing_test.go
@@ -89,9 +89,11 @@
 		d := deploy(t, 1)
 		defer d.end()
 		h, behind := d.hosts[0], d.hosts[1]
+		d.network.mu.Lock()
 		behind.transport.handlers[kindPull] = func(context.Context, peer.Sender, func(any) error) (any, error) {
 			return pullReply{Status: pullEntries, Entries: []store.Entry{{Key: "target", Revision: 1}}, Revision: 2}, nil
 		}
+		d.network.mu.Unlock()
 		d.store.mu.Lock()
 		d.store.refuses[h.cfg.Host] = true
 		d.store.mu.Unlock()
