evidence: a crash that an answer refutes is no first place

Cause, from the logs: a popular request, answered twice in the 10 s before, had been sent to four of the twelve servers 0.7 s before the deadly one; its caller had left at once. It had first places at all twelve, the deadly one at eight. The ends were then held against the popular request, because one end counted against it: the reset of a connection to a server that had long been silent. So neither was refused, and the deadly request went on.

Change: a crash that an answer refutes is no first place of its request. The popular request has none then, and the ends stay with the other one. An answer that becomes known has the places determined again.

TestAnsweredRequestExplainsNoEnds replays the load and fails without the change.

--- a/internal/evidence/evidence_test.go
+++ b/internal/evidence/evidence_test.go
@@ -180,6 +180,31 @@
 	require.Equal(t, Quarantined, l.Judge(now, 1).Verdict, "attempts that are cut count whatever was answered before")
 }
 
+// TestAnsweredRequestExplainsNoEnds guards against sparing a request that silences targets because a popular one was at more of them
+// first: it was answered before, and only the reset of a connection to a target that had long been silent counts against it.
+func TestAnsweredRequestExplainsNoEnds(t *testing.T) {
+	const deadly, popular = 1, 2
+	silent := func(fingerprint uint64, target string, age time.Duration) Fact {
+		f := sent(crash(fingerprint, target, 1), age)
+		f.Silent = true
+		return f
+	}
+	l, now := NewLog(1), 20*second
+	for i := range 12 {
+		target := fmt.Sprint("t", i)
+		l.Observe(now, silent(deadly, target, 4*second))
+		if i < 4 {
+			l.Observe(now, silent(popular, target, 4700*time.Millisecond)) // an attempt whose caller left at once
+		} else {
+			l.Observe(now, silent(popular, target, 3600*time.Millisecond))
+		}
+	}
+	l.Observe(now, sent(crash(popular, "u", 1), second))
+	l.Observe(now, Fact{Kind: Answered, Fingerprint: popular, Age: 6 * second})
+	require.Equal(t, Quarantined, l.Judge(now, deadly).Verdict)
+	require.Equal(t, Suspect, l.Judge(now, popular).Verdict)
+}
+
 // TestLogIsBounded guards the memory against any number of facts.
 func TestLogIsBounded(t *testing.T) {
 	l := NewLog(1)
--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -179,6 +179,7 @@
 		h = &history{crashes: map[Instance]*record{}}
 		l.requests[f.Fingerprint] = h
 	}
+	l.isRanked = false
 	if f.Kind == Answered {
 		h.answered = r
 		return
@@ -188,7 +189,6 @@
 		l.witnesses[f.Instance] = map[uint64]*record{}
 	}
 	l.witnesses[f.Instance][f.Fingerprint] = r
-	l.isRanked = false
 }
 
 func (l *Log) remove(r *record) {
@@ -199,6 +199,7 @@
 	if f.Kind == Leaving {
 		return
 	}
+	l.isRanked = false
 	h := l.requests[f.Fingerprint]
 	if f.Kind == Answered {
 		h.answered = nil
@@ -208,7 +209,6 @@
 		if len(l.witnesses[f.Instance]) == 0 {
 			delete(l.witnesses, f.Instance)
 		}
-		l.isRanked = false
 	}
 	if len(h.crashes) == 0 && h.answered == nil {
 		delete(l.requests, f.Fingerprint)
--- a/internal/evidence/verdict.go
+++ b/internal/evidence/verdict.go
@@ -149,7 +149,7 @@
 }
 
 // isExplained reports whether a crash counts against another request that was at the instance. That is the one with more first
-// places than h, unless it was answered; one with as many, if it was sent there long before h or if all crashes of h are of one
+// places than h; one with as many, if it was sent there long before h or if all crashes of h are of one
 // target. Requests that only share targets with the one that crashes them are spared by this, also those that meet targets which have
 // gone silent, however popular they are. What happened after end, the time of the latest crash of h, does not matter: a request
 // that is refused has no further crashes, while others go on.
@@ -161,7 +161,7 @@
 			continue
 		}
 		switch firsts := other.firstsUntil(end); {
-		case firsts > own && other.countCrashes() > 0:
+		case firsts > own:
 			return true
 		case firsts == own && (oneTarget || earlier.at+firstSlack < crash.at):
 			return true
@@ -177,7 +177,7 @@
 }
 
 // rank determines the first places of all requests: the instances that ended without an answer to a request which was sent there
-// before all others, or soon after the first of them.
+// before all others, or soon after the first of them. A crash that an answer refutes is no first place.
 func (l *Log) rank() {
 	if l.isRanked {
 		return
@@ -192,8 +192,8 @@
 			first = min(first, r.at)
 		}
 		for fingerprint, r := range crashes {
-			if r.at <= first+firstSlack {
-				h := l.requests[fingerprint]
+			h := l.requests[fingerprint]
+			if r.at <= first+firstSlack && !h.isRefuted(r) {
 				h.firsts = append(h.firsts, r.at)
 			}
 		}
