evidencestore: keep a request under which two targets have ended

Cause: only quarantines were written to the store. Evidence below one ended with the hosts.

Change: a request is written from its second crash on. A record waits 0.3 s, so that a proper request that two targets ended under, and that a third one answers, costs no call; a record of fewer than three crashes does not keep a later one from being written.

--- a/internal/evidencestore/evidencestore.go
+++ b/internal/evidencestore/evidencestore.go
@@ -1,8 +1,8 @@
-// Package evidencestore keeps the crashes of quarantined requests in the platform's store, so that they outlive the hosts.
+// Package evidencestore keeps the crashes of requests that crash targets in the platform's store, so that they outlive the hosts.
 //
 // The load that it answers: all hosts are killed at the same moment, and with them the evidence that they hold for each other.
-// A caller then sends the request that crashes targets again. Only quarantines are written, by hosts that have seen one
-// of the crashes themselves: a few calls for each quarantine, however many hosts there are.
+// A caller then sends the request that crashes targets again. Only requests that have crashed two targets are written, by hosts that
+// have seen one of the crashes themselves: a few calls for each such request, however many hosts there are.
 package evidencestore
 
 import (
@@ -24,6 +24,14 @@
 	// longest lease that the platform grants.
 	minLifetime = time.Second
 	maxLifetime = 10 * time.Minute
+	// minKeptCrashes is the number of crashes from which a request that is not quarantined yet is kept. An ordinary end of a target
+	// is one crash of each request that was there, and not worth two calls for each.
+	minKeptCrashes = 2
+	// completeRecord is the number of crashes from which a record is complete: hosts that read it refuse the request.
+	completeRecord = 3
+	// settleTime is how long a record waits before it is written. A proper request that two targets ended under is answered by
+	// another one meanwhile.
+	settleTime = 300 * time.Millisecond
 	// maxAnswered bounds the answered requests that are remembered.
 	maxAnswered = 256
 	// maxPending bounds the requests whose records are to be written. Further ones are left to the hosts' own memory.
@@ -45,40 +53,52 @@
 	// learned is told of the facts that were taken over.
 	learned func(from model.HostID, facts []evidence.Fact)
 
-	pending chan uint64
+	pending chan pendingRecord
 	mu      sync.Mutex
 	queued  map[uint64]bool
-	// recorded holds the requests with crashes in the store.
-	recorded map[uint64]bool
+	// recorded holds the numbers of crashes in the store, by request.
+	recorded map[uint64]int
 	// answered holds requests that were answered here and had no record. One may be on its way.
 	answered map[uint64]bool
 }
 
+// pendingRecord is a request whose record is to be written, at the monotime reading due at the earliest.
+type pendingRecord struct {
+	fingerprint uint64
+	due         time.Duration
+}
+
 // New returns a Store for the evidence in log. learned is called with the facts of another host that were new.
 func New(logger *zap.Logger, host model.HostID, feed store.Feed, log *evidence.Log, learned func(model.HostID, []evidence.Fact)) *Store {
 	return &Store{
 		logger: logger, host: host, feed: feed, log: log, learned: learned,
-		pending: make(chan uint64, maxPending), queued: map[uint64]bool{}, recorded: map[uint64]bool{},
+		pending: make(chan pendingRecord, maxPending), queued: map[uint64]bool{}, recorded: map[uint64]int{},
 		answered: map[uint64]bool{},
 	}
 }
 
-// Save has the crashes of a quarantined request written. It does not block.
+// IsWorthKeeping reports whether the crashes of a request must outlive the hosts: those of a quarantined request, and those of one
+// that has crashed minKeptCrashes targets.
+func IsWorthKeeping(j evidence.Judgement) bool {
+	return j.Verdict == evidence.Quarantined || j.Crashes >= minKeptCrashes
+}
+
+// Save has the crashes of a request written that is worth keeping. It does not block.
 func (s *Store) Save(fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.enqueue(fingerprint)
 }
 
-// SaveLearned has the crashes of a request written that others have found to complete its quarantine, if this host has seen one of
-// them and knows no record. It does not block.
-func (s *Store) SaveLearned(fingerprint uint64) {
+// SaveLearned has the crashes of a request written that others have found to make it worth keeping, if this host has seen one of them
+// and knows no record of as many crashes, or a complete one. It does not block.
+func (s *Store) SaveLearned(fingerprint uint64, crashes int) {
 	if !s.log.HasOwnCrash(fingerprint) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.recorded[fingerprint] {
+	if s.recorded[fingerprint] < min(crashes, completeRecord) {
 		s.enqueue(fingerprint)
 	}
 }
@@ -87,7 +107,7 @@
 func (s *Store) Withdraw(fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.recorded[fingerprint] {
+	if s.recorded[fingerprint] > 0 {
 		s.enqueue(fingerprint)
 		return
 	}
@@ -103,7 +123,7 @@
 		return
 	}
 	select {
-	case s.pending <- fingerprint:
+	case s.pending <- pendingRecord{fingerprint, monotime.Now() + settleTime}:
 		s.queued[fingerprint] = true
 	default:
 		s.logger.Warn("evidence not stored: too many requests are waiting", fingerprintField(fingerprint))
@@ -114,11 +134,12 @@
 func (s *Store) Run(ctx context.Context) {
 	for {
 		select {
-		case fingerprint := <-s.pending:
+		case next := <-s.pending:
+			_ = ctxtime.Sleep(ctx, next.due-monotime.Now()) // the loop ends with the context
 			s.mu.Lock()
-			delete(s.queued, fingerprint)
+			delete(s.queued, next.fingerprint)
 			s.mu.Unlock()
-			s.write(ctx, fingerprint)
+			s.write(ctx, next.fingerprint)
 		case <-ctx.Done():
 			return
 		}
@@ -147,8 +168,13 @@
 	judgement := s.log.Judge(now, fingerprint)
 	var crashes []evidence.Fact
 	lifetime := maxLifetime
-	if judgement.Verdict == evidence.Quarantined {
+	switch {
+	case IsWorthKeeping(judgement):
 		crashes = s.log.Crashes(now, fingerprint)
+	case s.recordedCrashes(fingerprint) == 0:
+		return nil // answered in the meantime
+	}
+	if judgement.Verdict == evidence.Quarantined {
 		lifetime = min(max(judgement.Left, minLifetime), maxLifetime)
 	}
 	value, err := encode(s.host, crashes)
@@ -163,15 +189,21 @@
 		return err
 	}
 	s.logger.Info("evidence stored", fingerprintField(fingerprint), zap.Int("crashes", len(crashes)), zap.Duration("for", lifetime))
-	s.setRecorded(fingerprint, len(crashes) > 0)
+	s.setRecorded(fingerprint, len(crashes))
 	return nil
 }
 
-func (s *Store) setRecorded(fingerprint uint64, recorded bool) {
+func (s *Store) recordedCrashes(fingerprint uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recorded[fingerprint]
+}
+
+func (s *Store) setRecorded(fingerprint uint64, crashes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if recorded {
-		s.recorded[fingerprint] = true
+	if crashes > 0 {
+		s.recorded[fingerprint] = crashes
 	} else {
 		delete(s.recorded, fingerprint)
 	}
@@ -193,7 +225,7 @@
 		if !change.Removed {
 			s.take(change.Entry)
 		} else if fingerprint, ok := fingerprintOf(change.Key); ok {
-			s.setRecorded(fingerprint, false)
+			s.setRecorded(fingerprint, 0)
 		}
 	}
 }
@@ -215,7 +247,7 @@
 		s.logger.Warn("stored evidence ignored", zap.String("key", entry.Key), zap.Uint64("revision", uint64(entry.Revision)), zap.Error(err))
 		return
 	}
-	s.setRecorded(fingerprint, len(facts) > 0)
+	s.setRecorded(fingerprint, len(facts))
 	if s.log.IsAnswered(fingerprint) {
 		s.withdrawAnswered(fingerprint)
 		return // its crashes may be earlier than the answer
@@ -229,7 +261,7 @@
 func (s *Store) withdrawAnswered(fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.recorded[fingerprint] && s.answered[fingerprint] {
+	if s.recorded[fingerprint] > 0 && s.answered[fingerprint] {
 		delete(s.answered, fingerprint)
 		s.enqueue(fingerprint)
 	}
--- a/internal/evidencestore/evidencestore_test.go
+++ b/internal/evidencestore/evidencestore_test.go
@@ -132,14 +132,14 @@
 			}
 			require.Equal(t, evidence.Quarantined, h.verdict(7))
 		}
-		third.SaveLearned(7)
+		third.SaveLearned(7, 3)
 		time.Sleep(time.Second)
 		require.Zero(t, feed.calls, "a host that has seen none of the crashes writes no record")
-		first.SaveLearned(7)
+		first.SaveLearned(7, 3)
 		time.Sleep(time.Second)
 		require.Len(t, feed.list(), 1)
 		calls := feed.calls
-		first.SaveLearned(7)
+		first.SaveLearned(7, 3)
 		time.Sleep(time.Second)
 		require.Equal(t, calls, feed.calls, "there is a record already")
 	})
@@ -215,3 +215,42 @@
 	}
 	require.Len(t, s.pending, maxPending)
 }
+
+// TestCrashesBelowTheLimitOutliveTheHosts guards against a request that crashes two targets in each life of a fleet whose hosts are all
+// killed again and again: below a quarantine, what they knew ended with them.
+func TestCrashesBelowTheLimitOutliveTheHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &fakeFeed{entries: map[string]store.Entry{}}
+		first := startHost(t, feed, "a")
+		first.crash(7, 2)
+		require.True(t, IsWorthKeeping(first.log.Judge(monotime.Now(), 7)))
+		first.Save(7)
+		time.Sleep(time.Second) // all hosts are killed then
+		second := startHost(t, feed, "bb")
+		second.Reset(feed.list(), 1)
+		require.Equal(t, evidence.Suspect, second.verdict(7))
+		second.log.Observe(monotime.Now(), evidence.Fact{Kind: evidence.Crashed, Fingerprint: 7, Instance: evidence.Instance{Target: "u"}})
+		require.Equal(t, evidence.Quarantined, second.verdict(7))
+		second.SaveLearned(7, 3) // the record of two is not enough
+		time.Sleep(time.Second)
+		third := startHost(t, feed, "ccc")
+		third.Reset(feed.list(), 1)
+		require.Equal(t, evidence.Quarantined, third.verdict(7))
+	})
+}
+
+// TestRequestThatIsAnsweredAtOnceCostsNoCall guards the calls to the store on days on which targets crash: a proper request that two of
+// them ended under is answered by another one within the moment that its record waits.
+func TestRequestThatIsAnsweredAtOnceCostsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &fakeFeed{entries: map[string]store.Entry{}}
+		h := startHost(t, feed, "a")
+		h.crash(7, 2)
+		h.Save(7)
+		time.Sleep(settleTime / 2)
+		h.log.RecordAnswer(monotime.Now(), 7)
+		h.Withdraw(7)
+		time.Sleep(time.Second)
+		require.Zero(t, feed.calls)
+	})
+}
--- a/internal/gateway/observe_targets.go
+++ b/internal/gateway/observe_targets.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/evidence"
+	"github.com/knapweedrouter/knapweedrouter/internal/evidencestore"
 	"github.com/knapweedrouter/knapweedrouter/internal/forward"
 )
 
@@ -59,15 +60,15 @@
 	}
 }
 
-// keepRecord has the evidence about a request stored if it has just been quarantined, and withdrawn if it was answered.
+// keepRecord has the evidence about a request stored if it is worth keeping, and withdrawn if it was answered.
 func (o *observer) keepRecord(d *forward.TargetDecision) {
-	quarantined, own := d.Judgement.Verdict == evidence.Quarantined, d.Source == ""
+	keep, own := evidencestore.IsWorthKeeping(d.Judgement), d.Source == ""
 	switch {
 	case o.records == nil:
-	case quarantined && own:
+	case keep && own:
 		o.records.Save(d.Fingerprint)
-	case quarantined:
-		o.records.SaveLearned(d.Fingerprint)
+	case keep:
+		o.records.SaveLearned(d.Fingerprint, d.Judgement.Crashes)
 	case !own:
 	case d.Verdict == forward.LossRefuted:
 		o.records.Withdraw(d.Fingerprint)
