exchange: an impossible status is no answer; evidencestore: one record is enough

Several hosts that learn of the same suspect write its record once: a host whose copy of the store has as many crashes when its turn comes writes none.

--- a/internal/evidencestore/evidencestore.go
+++ b/internal/evidencestore/evidencestore.go
@@ -169,14 +169,17 @@
 	var crashes []evidence.Fact
 	lifetime := maxLifetime
 	switch {
+	case judgement.Verdict == evidence.Quarantined:
+		crashes = s.log.Crashes(now, fingerprint)
+		lifetime = min(max(judgement.Left, minLifetime), maxLifetime)
 	case IsWorthKeeping(judgement):
 		crashes = s.log.Crashes(now, fingerprint)
+		if s.recordedCrashes(fingerprint) >= len(crashes) {
+			return nil // another host was first
+		}
 	case s.recordedCrashes(fingerprint) == 0:
 		return nil // answered in the meantime
 	}
-	if judgement.Verdict == evidence.Quarantined {
-		lifetime = min(max(judgement.Left, minLifetime), maxLifetime)
-	}
 	value, err := encode(s.host, crashes)
 	if err != nil {
 		return err
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -30,6 +30,9 @@
 	replyGrace = 50 * time.Millisecond
 )
 
+// errNoStatus means that the reply has a status code that HTTP does not have, which no answer to a caller can bear.
+var errNoStatus = errors.New("the reply has an impossible status code")
+
 // errOtherReplies means that none of the replies read belongs to the attempt's request.
 var errOtherReplies = errors.New("no reply read belongs to this request")
 
@@ -86,7 +89,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return fmt.Errorf("%w: %w", targetclient.ErrCancelled, err)
-	case errors.Is(err, errOtherReplies), errors.Is(err, httpreply.ErrTooLong), errors.Is(err, httpreply.ErrNoMemory):
+	case errors.Is(err, errOtherReplies), errors.Is(err, errNoStatus), errors.Is(err, httpreply.ErrTooLong), errors.Is(err, httpreply.ErrNoMemory):
 		return fmt.Errorf("%w: %w", targetclient.ErrMismatch, err)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return fmt.Errorf("%w: %w", targetclient.ErrNoReply, err)
@@ -136,6 +139,9 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
+		if response.StatusCode < 100 || response.StatusCode > 599 {
+			return nil, false, errNoStatus
+		}
 		if !reply.belongsTo(a.Request) {
 			if !framed || response.Close {
 				return nil, false, errOtherReplies
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -148,6 +148,8 @@
 		"own failure":      {"HTTP/1.1 500 Internal Server Error\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", ErrFailure},
 		"shed":             {"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", targetclient.ErrShed},
 		"plain 503":        {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", ErrFailure},
+		"status below 100": {"HTTP/1.1 099 None\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", targetclient.ErrMismatch},
+		"status above 599": {"HTTP/1.1 600 None\r\nX-Id: a\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", targetclient.ErrMismatch},
 		"another target":   {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", targetclient.ErrDraining},
 	} {
 		t.Run(name, func(t *testing.T) {
