forward: a lost attempt at a cold target is followed by a connection

A request that crashes a server which has just come back was then known only by the next refused attempt or the end of the registration.

Change: such a target is probed by a connection without a request, and only a refusal says something of it. What the probe is, is decided where the attempt ends; startProbe bounds the probes as before.

TestCrashOfAColdTargetIsKnownAtOnce fails without the change (no suspect) and passes with it. No run of whole processes has shown the fault.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -117,10 +117,14 @@
 	}
 	e.doubtful[r.fingerprint] = r.evidence
 	switch {
+	case lost && !e.mayBeAsked(p):
+		e.startProbe(*p, probeDelay, e.probeConnection)
 	case lost:
-		e.startProbe(*p, probeDelay)
+		e.startProbe(*p, probeDelay, e.probeHealth)
 	case errors.Is(err, targetclient.ErrNoReply), now-p.sent >= r.overdue(p.service):
-		e.startProbe(*p, max(0, p.sent+silenceDelay-now))
+		if e.mayBeAsked(p) {
+			e.startProbe(*p, max(0, p.sent+silenceDelay-now), e.probeHealth)
+		}
 	}
 	return nil
 }
@@ -136,8 +140,8 @@
 	now := monotime.Now()
 	for i := range r.picked {
 		p := &r.picked[i]
-		if p.state.witness.IsRunning(r.evidence) && now-p.sent >= r.overdue(p.service) {
-			e.startProbe(*p, 0)
+		if p.state.witness.IsRunning(r.evidence) && now-p.sent >= r.overdue(p.service) && e.mayBeAsked(p) {
+			e.startProbe(*p, 0, e.probeHealth)
 		}
 	}
 }
@@ -252,41 +256,62 @@
 	}
 }
 
-// startProbe probes a target that has not answered an attempt, unless that is being done already, the target is out or has asked for
-// fewer requests, or it is known to be silent. The caller holds e.mu.
-func (e *Engine) startProbe(p pickedTarget, delay time.Duration) {
+// probe finds out what became of a target.
+type probe func(p *pickedTarget) (*exchange.Reply, TargetVerdict)
+
+// mayBeAsked reports whether a target may get health checks: it is not out, has not asked for fewer requests, and is not cold. The
+// caller holds e.mu.
+func (e *Engine) mayBeAsked(p *pickedTarget) bool {
+	return p.state.isWilling(e.now()) && e.now() >= p.target.ColdUntil &&
+		slices.Contains(e.routingState.Load().Eligible(p.target.Service), p.state.id)
+}
+
+// startProbe probes a target that has not answered an attempt, unless that is being done already or it is known to be silent. The
+// caller holds e.mu.
+func (e *Engine) startProbe(p pickedTarget, delay time.Duration, ask probe) {
 	now, t := monotime.Now(), p.state
-	switch {
-	case t.probing || t.probed && now < t.nextProbe || e.probes >= maxProbes:
-		return
-	case t.witness.IsSilent() || !t.isWilling(e.now()) || e.now() < p.target.ColdUntil:
-		return
-	case !slices.Contains(e.routingState.Load().Eligible(p.target.Service), t.id):
+	if t.probing || t.probed && now < t.nextProbe || e.probes >= maxProbes || t.witness.IsSilent() {
 		return
 	}
 	t.probing, t.probed, t.nextProbe = true, true, now+delay+probeInterval
 	e.probes++
-	e.tasks.Go(func() { e.probe(p, delay) })
+	e.tasks.Go(func() {
+		time.Sleep(delay)
+		reply, verdict := ask(&p)
+		e.reportDecisions(e.recordProbe(p.state, reply, verdict))
+	})
 }
 
-// probe asks a target for its health until it answers or has been silent too often.
-func (e *Engine) probe(p pickedTarget, delay time.Duration) {
-	time.Sleep(delay)
+// probeHealth asks a target for its health until it answers or has been silent too often. If its service has no resource for that, it
+// only connects.
+func (e *Engine) probeHealth(p *pickedTarget) (*exchange.Reply, TargetVerdict) {
+	var request *exchange.Request
+	if path := e.routingState.Load().Table.Services[p.target.Service].HealthPath; path != "" {
+		request = &exchange.Request{Method: http.MethodGet, URI: path, Host: p.target.Address}
+	}
 	verdict := LossTargetSilent
 	var reply *exchange.Reply
 	for try := 0; try < probeTries && verdict == LossTargetSilent; try++ {
-		reply, verdict = e.probeOnce(&p)
+		reply, verdict = e.probeOnce(p, request)
+	}
+	return reply, verdict
+}
+
+// probeConnection only connects, which costs the target no request. Only a refusal says something of it.
+func (e *Engine) probeConnection(p *pickedTarget) (*exchange.Reply, TargetVerdict) {
+	_, verdict := e.probeOnce(p, nil)
+	if verdict == LossTargetSilent {
+		verdict = LossTargetAccepts
 	}
-	e.reportDecisions(e.recordProbe(p.state, reply, verdict))
+	return nil, verdict
 }
 
-// probeOnce asks a target for its health. If its service has no resource for that, it only connects.
-func (e *Engine) probeOnce(p *pickedTarget) (*exchange.Reply, TargetVerdict) {
+// probeOnce sends a request to a target, or only connects if there is none.
+func (e *Engine) probeOnce(p *pickedTarget, request *exchange.Request) (*exchange.Reply, TargetVerdict) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	attempt := &exchange.Attempt{Target: p.target.Target, Address: p.target.Address, Deadline: time.Now().Add(probeTimeout)}
-	if path := e.routingState.Load().Table.Services[p.target.Service].HealthPath; path != "" {
-		attempt.Request = &exchange.Request{Method: http.MethodGet, URI: path, Host: p.target.Address}
+	attempt := &exchange.Attempt{
+		Request: request, Target: p.target.Target, Address: p.target.Address, Deadline: time.Now().Add(probeTimeout),
 	}
 	reply, err := e.cfg.Client.Probe(ctx, attempt)
 	var timeout net.Error
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -288,3 +288,31 @@
 		})
 	}
 }
+
+// TestCrashOfAColdTargetIsKnownAtOnce guards against a request that goes on to the next target because nobody asks what became of one
+// that was cold, wanted nothing or was out when it was lost: it gets no health check then, but a connection shows its end.
+func TestCrashOfAColdTargetIsKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &crashingClient{down: map[string]bool{}}
+		c.respond = func(a *exchange.Attempt) (time.Duration, error) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.down[a.Address] = true
+			return ms, targetclient.ErrLost
+		}
+		route := singleRoute(true)
+		route.MaxAttempts = 1
+		e, table := newEngine(t, c, 1, 0, route)
+		targets := targetsOf("single")
+		for i := range targets {
+			targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
+			targets[i].ColdUntil = e.now() + time.Hour
+		}
+		e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
+		outcome := e.Do(t.Context(), newRequest("a", &table.Routes[0]))
+		require.NotNil(t, outcome.Err)
+		time.Sleep(2 * probeDelay)
+		require.Equal(t, 1, e.cfg.Evidence.Summary(monotime.Now()).Suspects)
+		e.Wait()
+	})
+}
