httpreply: nothing can always be taken from an account

What an ordinary reply takes is not charged, but the account was asked for 0 bytes, and refuses that while another reply's attempt to take more than there is has not been undone yet. Such a reply was then given up, now and then, while endless ones held the account: what was to prevent.

Change: an account is not looked at for nothing.

TestNothingCanAlwaysBeTaken failed before (refusals among 100,000 calls beside four that ask for too much) and passes now.

--- a/internal/httpreply/account.go
+++ b/internal/httpreply/account.go
@@ -42,7 +42,7 @@
 // Take charges bytes to the account and the one it belongs to. It charges nothing and returns false if a limit would be
 // exceeded.
 func (a *Account) Take(bytes int64) bool {
-	if a == nil {
+	if a == nil || bytes == 0 {
 		return true
 	}
 	if a.used.Add(bytes) > a.limit || !a.parent.Take(bytes) {
--- a/internal/httpreply/httpreply_test.go
+++ b/internal/httpreply/httpreply_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -192,3 +193,35 @@
 	require.ErrorIs(t, err, ErrNoMemory)
 	require.LessOrEqual(t, source.read, int64(2*(freeHeadBytes+freeBodyBytes)))
 }
+
+// TestNothingCanAlwaysBeTaken guards against refusing an ordinary reply, of which nothing is charged, in the moment in which another one
+// tries to take more than there is.
+func TestNothingCanAlwaysBeTaken(t *testing.T) {
+	const limit = 1 << 10
+	process := NewAccount(limit)
+	process.Take(limit)
+	stop := make(chan struct{})
+	var taking sync.WaitGroup
+	for range 4 {
+		taking.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					process.Take(1)
+				}
+			}
+		})
+	}
+	refused := 0
+	for range 100_000 {
+		if !process.Take(0) {
+			refused++
+		}
+	}
+	close(stop)
+	taking.Wait()
+	require.Zero(t, refused)
+	require.EqualValues(t, limit, process.Used())
+}
