--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -178,17 +178,16 @@
 }
 
 // takeIdle removes and returns the usable idle connection that was used last and has not carried the request, or nil. It
-// closes those that are no longer usable. The caller holds the pool's mutex.
+// closes those before it that are no longer usable. The caller holds the pool's mutex.
 func (c *targetConns) takeIdle(request *Request) *connection {
 	now := time.Now()
 	for i := len(c.idle) - 1; i >= 0; i-- {
 		conn := c.idle[i]
-		usable := conn.isUsable(now)
-		if usable && conn.hasCarried(request) {
+		if conn.hasCarried(request) {
 			continue
 		}
 		c.idle = slices.Delete(c.idle, i, i+1)
-		if usable {
+		if conn.isUsable(now) {
 			return conn
 		}
 		conn.Close()
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -117,14 +117,10 @@
 	}
 	e.doubtful[r.fingerprint] = r.evidence
 	switch {
-	case lost && !e.mayBeAsked(p):
-		e.startProbe(*p, probeDelay, e.probeConnection)
 	case lost:
-		e.startProbe(*p, probeDelay, e.probeHealth)
+		e.startProbe(*p, probeDelay, true)
 	case errors.Is(err, targetclient.ErrNoReply), now-p.sent >= r.overdue(p.service):
-		if e.mayBeAsked(p) {
-			e.startProbe(*p, max(0, p.sent+silenceDelay-now), e.probeHealth)
-		}
+		e.startProbe(*p, max(0, p.sent+silenceDelay-now), false)
 	}
 	return nil
 }
@@ -140,8 +136,8 @@
 	now := monotime.Now()
 	for i := range r.picked {
 		p := &r.picked[i]
-		if p.state.witness.IsRunning(r.evidence) && now-p.sent >= r.overdue(p.service) && e.mayBeAsked(p) {
-			e.startProbe(*p, 0, e.probeHealth)
+		if p.state.witness.IsRunning(r.evidence) && now-p.sent >= r.overdue(p.service) {
+			e.startProbe(*p, 0, false)
 		}
 	}
 }
@@ -256,9 +252,6 @@
 	}
 }
 
-// probe finds out what became of a target.
-type probe func(p *pickedTarget) (*exchange.Reply, TargetVerdict)
-
 // mayBeAsked reports whether a target may get health checks: it is not out, has not asked for fewer requests, and is not cold. The
 // caller holds e.mu.
 func (e *Engine) mayBeAsked(p *pickedTarget) bool {
@@ -266,13 +259,20 @@
 		slices.Contains(e.routingState.Load().Eligible(p.target.Service), p.state.id)
 }
 
-// startProbe probes a target that has not answered an attempt, unless that is being done already or it is known to be silent. The
-// caller holds e.mu.
-func (e *Engine) startProbe(p pickedTarget, delay time.Duration, ask probe) {
+// startProbe probes a target that has not answered an attempt, unless that is being done already or it is known to be silent. One that
+// may not be asked is probed only if the attempt was lost, by a connection. The caller holds e.mu.
+func (e *Engine) startProbe(p pickedTarget, delay time.Duration, lost bool) {
 	now, t := monotime.Now(), p.state
 	if t.probing || t.probed && now < t.nextProbe || e.probes >= maxProbes || t.witness.IsSilent() {
 		return
 	}
+	ask := e.probeHealth
+	if !e.mayBeAsked(&p) {
+		if !lost {
+			return
+		}
+		ask = e.probeConnection
+	}
 	t.probing, t.probed, t.nextProbe = true, true, now+delay+probeInterval
 	e.probes++
 	e.tasks.Go(func() {
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -53,9 +53,9 @@
 // charged to the account. After an error the connection cannot be used any more.
 func (r *Reader) Read(request *http.Request, maxBody int64, memory *Account) (*http.Response, []byte, error) {
 	r.source.left = MaxHeadBytes
-	r.source.head = &headCharge{memory: memory, free: freeHeadBytes}
+	r.source.memory, r.source.free = memory, freeHeadBytes
 	response, err := http.ReadResponse(r.Reader, request)
-	r.source.head = nil
+	r.source.memory = nil
 	if err != nil {
 		return nil, nil, r.source.explain(err)
 	}
@@ -95,30 +95,24 @@
 	}
 }
 
-// headCharge charges the bytes of a head to an account, except the first ones.
-type headCharge struct {
-	memory *Account
-	free   int64
-}
-
-// add charges further bytes of the head. It returns false if the account has no room for them.
-func (h *headCharge) add(bytes int64) bool {
-	free := min(h.free, bytes)
-	h.free -= free
-	charged := bytes - free
-	return charged == 0 || h.memory.Take(headOverhead*charged)
-}
-
 // source passes on at most left bytes of a connection.
 type source struct {
 	connection io.Reader
 	left       int64
-	// head is nil while no head is read.
-	head *headCharge
+	// memory is charged for a head while it is read, except for the first free bytes; otherwise it is nil.
+	memory *Account
+	free   int64
 	// full means that the account had no room for the head.
 	full bool
 }
 
+// charge charges further bytes of the head. It returns false if the account has no room for them.
+func (s *source) charge(bytes int64) bool {
+	free := min(s.free, bytes)
+	s.free -= free
+	return s.memory.Take(headOverhead * (bytes - free))
+}
+
 // explain returns ErrTooLong for an error after the last allowed byte, and ErrNoMemory for one after the last byte that the account
 // has room for. Parsers report a line that ends there as malformed.
 func (s *source) explain(err error) error {
@@ -138,7 +132,7 @@
 	}
 	n, err := s.connection.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
-	if s.head != nil && !s.head.add(int64(n)) {
+	if !s.charge(int64(n)) {
 		s.full = true
 		return 0, ErrNoMemory
 	}
