httpreply: a head that had arrived before it is read is charged as well

Change: what the reader's buffer holds when a reply is begun is charged like what arrives later. exchange has a buffer of 4 KiB, which is free.

TestBufferedHeadIsCharged fails without the change and passes with it.

--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -54,6 +54,9 @@
 func (r *Reader) Read(request *http.Request, maxBody int64, memory *Account) (*http.Response, []byte, error) {
 	r.source.left = MaxHeadBytes
 	r.source.memory, r.source.free = memory, freeHeadBytes
+	if !r.source.charge(int64(r.Buffered())) {
+		return nil, nil, ErrNoMemory
+	}
 	response, err := http.ReadResponse(r.Reader, request)
 	r.source.memory = nil
 	if err != nil {
--- a/internal/httpreply/httpreply_test.go
+++ b/internal/httpreply/httpreply_test.go
@@ -225,3 +225,13 @@
 	require.Zero(t, refused)
 	require.EqualValues(t, limit, process.Used())
 }
+
+// TestBufferedHeadIsCharged guards against a head that costs nothing because it had arrived before it was read: the reader of an idle
+// connection waits for its first byte and gets as many as its buffer holds.
+func TestBufferedHeadIsCharged(t *testing.T) {
+	r := NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+strings.Repeat("X: y\r\n", 2000)+"\r\n"), MaxHeadBytes)
+	_, err := r.Peek(1)
+	require.NoError(t, err)
+	_, _, err = r.Read(&http.Request{Method: http.MethodGet}, testBodyLimit, NewAccount(1<<10))
+	require.ErrorIs(t, err, ErrNoMemory)
+}
