--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -64,9 +64,7 @@
 					extra.Target += model.TargetID(fmt.Sprint("-", i))
 					targets = append(targets, extra)
 				}
-				for i := range targets {
-					targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
-				}
+				giveAddresses(targets)
 				shared := evidence.NewLog(1) // package relay has the tests of its exchange between hosts
 				for h := range 4 {
 					e := New(Config{Client: c, Host: model.HostID(fmt.Sprint("host", h)), ExtraRatio: 0.2, ExtraSlack: 104,
@@ -177,9 +175,7 @@
 				services = append(services, shardName(i))
 			}
 			targets := targetsOf(services...)
-			for i := range targets {
-				targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
-			}
+			giveAddresses(targets)
 			shared := evidence.NewLog(1)
 			var engines []*Engine
 			for h := range 4 {
@@ -245,9 +241,9 @@
 		route.MaxAttempts = 10
 		e, table := newEngine(t, c, 1, 0, route)
 		targets := targetsOf("single", "single", "single", "single")
+		giveAddresses(targets)
 		for i := range targets {
 			targets[i].Target += model.TargetID(fmt.Sprint("-", i))
-			targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
 		}
 		e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
 		started := time.Now()
@@ -271,10 +267,10 @@
 			route.MaxAttempts = 1
 			e, table := newEngine(t, c, 1, 0, route)
 			targets := targetsOf("single")
+			giveAddresses(targets)
 			for incarnation := range 4 {
 				for i := range targets {
 					targets[i].Incarnation = model.Incarnation(incarnation + 1)
-					targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
 				}
 				out := map[model.DataCentreID]bool{"dc0": true, "dc1": true, "dc2": true} // all but one, so that the targets differ
 				delete(out, model.DataCentreID(fmt.Sprint("dc", incarnation%replicas)))
@@ -304,8 +300,8 @@
 		route.MaxAttempts = 1
 		e, table := newEngine(t, c, 1, 0, route)
 		targets := targetsOf("single")
+		giveAddresses(targets)
 		for i := range targets {
-			targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
 			targets[i].ColdUntil = e.now() + time.Hour
 		}
 		e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
--- a/internal/forward/fakes_test.go
+++ b/internal/forward/fakes_test.go
@@ -92,6 +92,13 @@
 	return all
 }
 
+// giveAddresses gives each target an address of its own.
+func giveAddresses(targets []registry.Target) {
+	for i := range targets {
+		targets[i].Address = fmt.Sprintf("10.0.0.%d:80", i)
+	}
+}
+
 func gatherRoute(shards int) routing.Route {
 	r := routing.Route{
 		Name: "gather", Host: "h", Prefix: "/g/", Repeatable: true, Timeout: time.Second, Objective: 100 * ms, MaxAttempts: 2,
