forward, gateway: say when a probe decided nothing, or was left out

The logs could not tell an unanswered attempt whose target was alive from one whose target was never asked. Verdicts 'address answers' and 'not probed' beside 'address accepts', and a rate-limited line 'probe decided nothing'.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -263,16 +263,19 @@
 // may not be asked is probed only if the attempt was lost, by a connection. The caller holds e.mu.
 func (e *Engine) startProbe(p pickedTarget, delay time.Duration, lost bool) {
 	now, t := monotime.Now(), p.state
-	if t.probing || t.probed && now < t.nextProbe || e.probes >= maxProbes || t.witness.IsSilent() {
+	if t.probing || t.probed && now < t.nextProbe || t.witness.IsSilent() {
 		return
 	}
-	ask := e.probeHealth
-	if !e.mayBeAsked(&p) {
-		if !lost {
-			return
-		}
+	ask, mayBeAsked := e.probeHealth, e.mayBeAsked(&p)
+	if !mayBeAsked {
 		ask = e.probeConnection
 	}
+	if e.probes >= maxProbes || !mayBeAsked && !lost {
+		t.probed, t.nextProbe = true, now+probeInterval
+		decision := TargetDecision{Instance: t.instance(), Verdict: LossNotProbed}
+		e.tasks.Go(func() { e.reportDecisions([]TargetDecision{decision}) })
+		return
+	}
 	t.probing, t.probed, t.nextProbe = true, true, now+delay+probeInterval
 	e.probes++
 	e.tasks.Go(func() {
@@ -323,7 +326,10 @@
 	case errors.Is(err, targetclient.ErrNoReply), errors.Is(err, targetclient.ErrCancelled), errors.As(err, &timeout) && timeout.Timeout():
 		return nil, LossTargetSilent
 	}
-	return reply, LossTargetAccepts
+	if reply == nil {
+		return nil, LossTargetAccepts
+	}
+	return reply, LossTargetAnswers
 }
 
 // recordProbe records the result of a probe.
--- a/internal/forward/decision.go
+++ b/internal/forward/decision.go
@@ -13,9 +13,13 @@
 
 // The verdicts. Those that begin with Loss concern attempts that got no answer.
 const (
-	// LossTargetAccepts, the result of a probe, means that something answers at the target's address, which proves neither its
-	// life nor its end.
+	// LossNotProbed means that the target was not probed, because it may not be asked or too many probes are in progress.
+	LossNotProbed TargetVerdict = "not probed"
+	// LossTargetAccepts, the result of a probe that only connects, means that a connection was accepted at the target's address,
+	// which proves neither its life nor its end.
 	LossTargetAccepts TargetVerdict = "address accepts"
+	// LossTargetAnswers, the result of a probe, means that something at the target's address answered it.
+	LossTargetAnswers TargetVerdict = "address answers"
 	// LossTargetSilent, the result of probes, means that the target answered none of them.
 	LossTargetSilent TargetVerdict = "address silent"
 	// LossTargetRefuses means that the target's address refuses connections: the target has ended.
--- a/internal/gateway/observe_targets.go
+++ b/internal/gateway/observe_targets.go
@@ -42,11 +42,14 @@
 	}
 }
 
-// recordLoss counts and logs the verdict on an attempt that got no answer. Probes that decide nothing are only counted. The lines
-// of quarantines are not limited, because crashes bound their number.
+// recordLoss counts and logs the verdict on an attempt that got no answer. The lines of quarantines are not limited, because
+// crashes bound their number.
 func (o *observer) recordLoss(d *forward.TargetDecision, fields []zap.Field) {
 	o.metrics.GetOrCreateCounter(`knapweedrouter_losses_total{verdict="` + string(d.Verdict) + `"}`).Inc()
 	if d.Fingerprint == 0 {
+		if o.logLimiter.Allow() {
+			o.logger.Info("probe decided nothing", fields...)
+		}
 		return
 	}
 	o.keepRecord(d)
