forward: a target that may not be asked is probed too, by an attempt that any instance turns away

Cause: a target that was cold, out or had asked for a pause got no probe after a silent attempt, and a connection only after a lost one. An address that accepts and says nothing passed for a living target, so that nothing but the end of the entry told of the end. A service without a health path had the same gap. Change: such targets get an attempt for an instance that does not exist, on a connection of its own (a late copy of its 421 would be taken for the refusal of the next request). A target that wants nothing gets one probe in that time.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -108,7 +108,8 @@
 		// A reply that no parser expected must not end the process.
 		reusable, err = false, fmt.Errorf("%w: %w", targetclient.ErrMismatch, recovered.AsError())
 	}
-	p.release(conns, conn, reusable)
+	// A late copy of the refusal of a misdirected attempt would be taken for the refusal of the next one.
+	p.release(conns, conn, reusable && !a.Misdirected)
 	if err != nil {
 		if !errors.Is(err, targetclient.ErrCancelled) && !errors.Is(err, targetclient.ErrNotSent) {
 			p.retireIdle(conns)
@@ -120,19 +121,11 @@
 
 // Probe implements Client.
 func (p *Pool) Probe(ctx context.Context, a *Attempt) (*Reply, error) {
-	if a.Request != nil {
-		reply, err := p.Do(ctx, a)
-		if reply != nil && !reply.WrongTarget {
-			err = nil
-		}
-		return reply, err
-	}
-	conns, conn, err := p.acquire(ctx, a)
-	if err != nil {
-		return nil, err
+	reply, err := p.Do(ctx, a)
+	if reply != nil && (a.Misdirected || !reply.WrongTarget) {
+		err = nil
 	}
-	p.release(conns, conn, true)
-	return nil, nil
+	return reply, err
 }
 
 // acquire returns an idle connection to the target, or opens one.
@@ -166,9 +159,11 @@
 		conns = &targetConns{address: a.Address}
 		p.targets[a.Target] = conns
 	}
-	if conn := conns.takeIdle(a.Request); conn != nil {
-		p.counters.Reused.Add(1)
-		return conns, conn, nil
+	if !a.Misdirected {
+		if conn := conns.takeIdle(a.Request); conn != nil {
+			p.counters.Reused.Add(1)
+			return conns, conn, nil
+		}
 	}
 	if a.MaxConnections > 0 && conns.openCount >= a.MaxConnections && !conns.closeOldest() {
 		return nil, nil, errNoConnection
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,6 +38,9 @@
 	Address string
 	// Deadline is when the target stops working on the request.
 	Deadline time.Time
+	// Misdirected means that the attempt names an instance that does not exist, so that any target turns it away without running
+	// it. It uses a connection of its own.
+	Misdirected bool
 	// MaxConnections limits this host's connections to the target; 0 means no limit.
 	MaxConnections int
 	// MaxReplyBytes limits the body of the reply; 0 means httpreply.MaxBodyBytes.
@@ -107,9 +110,8 @@
 	// Do sends the attempt and returns the reply. With ErrFailure it also returns the reply. All other errors are from
 	// package targetclient: ErrNotSent, ErrShed, ErrDraining, ErrMismatch, ErrLost, ErrNoReply and ErrCancelled.
 	Do(ctx context.Context, attempt *Attempt) (*Reply, error)
-	// Probe sends the attempt's request and returns the target's reply, whatever it is. Without a request it only opens a
-	// connection, which is kept for later attempts, and returns no reply. The error wraps syscall.ECONNREFUSED if nothing
-	// listens at the address, and is targetclient.ErrDraining if another target does.
+	// Probe sends the attempt and returns the target's reply, whatever it is. The error wraps syscall.ECONNREFUSED if nothing
+	// listens at the address, and is targetclient.ErrDraining if another target does and the attempt is not misdirected.
 	Probe(ctx context.Context, attempt *Attempt) (*Reply, error)
 }
 
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -118,9 +118,9 @@
 	e.doubtful[r.fingerprint] = r.evidence
 	switch {
 	case lost:
-		e.startProbe(*p, probeDelay, true)
+		e.startProbe(*p, probeDelay)
 	case errors.Is(err, targetclient.ErrNoReply), now-p.sent >= r.overdue(p.service):
-		e.startProbe(*p, max(0, p.sent+silenceDelay-now), false)
+		e.startProbe(*p, max(0, p.sent+silenceDelay-now))
 	}
 	return nil
 }
@@ -137,7 +137,7 @@
 	for i := range r.picked {
 		p := &r.picked[i]
 		if p.state.witness.IsRunning(r.evidence) && now-p.sent >= r.overdue(p.service) {
-			e.startProbe(*p, 0, false)
+			e.startProbe(*p, 0)
 		}
 	}
 }
@@ -259,64 +259,70 @@
 		slices.Contains(e.routingState.Load().Eligible(p.target.Service), p.state.id)
 }
 
-// startProbe probes a target that has not answered an attempt, unless that is being done already or it is known to be silent. One that
-// may not be asked is probed only if the attempt was lost, by a connection. The caller holds e.mu.
-func (e *Engine) startProbe(p pickedTarget, delay time.Duration, lost bool) {
+// probe is a question to a target that has not answered an attempt.
+type probe struct {
+	path        string
+	misdirected bool
+	tries       int
+}
+
+// newProbe returns the probe of a target: a health check, or, if the target may not be asked or its service has no resource for it, an
+// attempt that any target turns away. The caller holds e.mu.
+func (e *Engine) newProbe(p *pickedTarget) probe {
+	health := e.routingState.Load().Table.Services[p.target.Service].HealthPath
+	switch {
+	case e.now() < p.state.quietUntil:
+		return probe{path: "/", misdirected: true, tries: 1}
+	case health == "" || !e.mayBeAsked(p):
+		return probe{path: "/", misdirected: true, tries: probeTries}
+	}
+	return probe{path: health, tries: probeTries}
+}
+
+// startProbe probes a target that has not answered an attempt, unless that is being done already or it is known to be silent. One
+// that wants nothing for a while is probed once in that time. The caller holds e.mu.
+func (e *Engine) startProbe(p pickedTarget, delay time.Duration) {
 	now, t := monotime.Now(), p.state
 	if t.probing || t.probed && now < t.nextProbe || t.witness.IsSilent() {
 		return
 	}
-	ask, mayBeAsked := e.probeHealth, e.mayBeAsked(&p)
-	if !mayBeAsked {
-		ask = e.probeConnection
-	}
-	if e.probes >= maxProbes || !mayBeAsked && !lost {
-		t.probed, t.nextProbe = true, now+probeInterval
+	t.probed, t.nextProbe = true, now+max(delay+probeInterval, t.quietUntil-e.now())
+	if e.probes >= maxProbes {
 		decision := TargetDecision{Instance: t.instance(), Verdict: LossNotProbed}
 		e.tasks.Go(func() { e.reportDecisions([]TargetDecision{decision}) })
 		return
 	}
-	t.probing, t.probed, t.nextProbe = true, true, now+delay+probeInterval
+	t.probing = true
 	e.probes++
+	question := e.newProbe(&p)
 	e.tasks.Go(func() {
 		time.Sleep(delay)
-		reply, verdict := ask(&p)
+		reply, verdict := e.ask(&p, question)
 		e.reportDecisions(e.recordProbe(p.state, reply, verdict))
 	})
 }
 
-// probeHealth asks a target for its health until it answers or has been silent too often. If its service has no resource for that, it
-// only connects.
-func (e *Engine) probeHealth(p *pickedTarget) (*exchange.Reply, TargetVerdict) {
-	var request *exchange.Request
-	if path := e.routingState.Load().Table.Services[p.target.Service].HealthPath; path != "" {
-		request = &exchange.Request{Method: http.MethodGet, URI: path, Host: p.target.Address}
-	}
+// ask sends a probe until the target answers it or has been silent too often.
+func (e *Engine) ask(p *pickedTarget, question probe) (*exchange.Reply, TargetVerdict) {
 	verdict := LossTargetSilent
 	var reply *exchange.Reply
-	for try := 0; try < probeTries && verdict == LossTargetSilent; try++ {
-		reply, verdict = e.probeOnce(p, request)
+	for try := 0; try < question.tries && verdict == LossTargetSilent; try++ {
+		reply, verdict = e.askOnce(p, question)
 	}
 	return reply, verdict
 }
 
-// probeConnection only connects, which costs the target no request. Only a refusal says something of it.
-func (e *Engine) probeConnection(p *pickedTarget) (*exchange.Reply, TargetVerdict) {
-	_, verdict := e.probeOnce(p, nil)
-	if verdict == LossTargetSilent {
-		verdict = LossTargetAccepts
-	}
-	return nil, verdict
-}
-
-// probeOnce sends a request to a target, or only connects if there is none.
-func (e *Engine) probeOnce(p *pickedTarget, request *exchange.Request) (*exchange.Reply, TargetVerdict) {
+// askOnce sends a probe. It returns the reply of the target's instance; that to a misdirected probe may be of another one.
+func (e *Engine) askOnce(p *pickedTarget, question probe) (*exchange.Reply, TargetVerdict) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	attempt := &exchange.Attempt{
-		Request: request, Target: p.target.Target, Address: p.target.Address, Deadline: time.Now().Add(probeTimeout),
-	}
-	reply, err := e.cfg.Client.Probe(ctx, attempt)
+	reply, err := e.cfg.Client.Probe(ctx, &exchange.Attempt{
+		Request:     &exchange.Request{Method: http.MethodGet, URI: question.path, Host: p.target.Address},
+		Target:      p.target.Target,
+		Address:     p.target.Address,
+		Deadline:    time.Now().Add(probeTimeout),
+		Misdirected: question.misdirected,
+	})
 	var timeout net.Error
 	switch {
 	case errors.Is(err, targetclient.ErrDraining):
@@ -325,9 +331,10 @@
 		return nil, LossTargetRefuses
 	case errors.Is(err, targetclient.ErrNoReply), errors.Is(err, targetclient.ErrCancelled), errors.As(err, &timeout) && timeout.Timeout():
 		return nil, LossTargetSilent
-	}
-	if reply == nil {
+	case err != nil:
 		return nil, LossTargetAccepts
+	case question.misdirected:
+		return nil, LossTargetAnswers
 	}
 	return reply, LossTargetAnswers
 }
@@ -343,7 +350,7 @@
 	case reply != nil:
 		t.witness.Replied(monotime.Now())
 		return append(decisions, e.recordWishes(t, reply)...)
-	case verdict == LossTargetAccepts:
+	case verdict == LossTargetAccepts, verdict == LossTargetAnswers:
 		return decisions
 	}
 	if ended := e.recordEnd(t, verdict); len(ended) > 0 {
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -312,3 +312,62 @@
 		e.Wait()
 	})
 }
+
+// silentClient is a fake client whose targets lose what they run and answer no probe.
+type silentClient struct {
+	fakeClient
+	probes []exchange.Attempt
+}
+
+func (c *silentClient) Do(ctx context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
+	_, err := c.fakeClient.Do(ctx, a)
+	return nil, err
+}
+
+func (c *silentClient) Probe(_ context.Context, a *exchange.Attempt) (*exchange.Reply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.probes = append(c.probes, exchange.Attempt{Target: a.Target, Misdirected: a.Misdirected})
+	return nil, targetclient.ErrNoReply
+}
+
+// TestSilentTargetThatMayNotBeAskedIsProbed guards against not seeing the end of a target that was cold, wanted nothing or was out,
+// accepts connections and answers nothing: it may get no health check, but an attempt that any instance turns away.
+func TestSilentTargetThatMayNotBeAskedIsProbed(t *testing.T) {
+	for state, probes := range map[string]int{"cold": probeTries, "quiet": 1, "out": probeTries} {
+		for _, lost := range []error{targetclient.ErrLost, targetclient.ErrNoReply} {
+			t.Run(fmt.Sprint(state, " ", lost), func(t *testing.T) {
+				t.Parallel()
+				c := &silentClient{}
+				route := singleRoute(true)
+				route.MaxAttempts = 1
+				e, table := newEngine(t, c, 1, 0, route)
+				targets := targetsOf("single")[:1]
+				giveAddresses(targets)
+				if state == "cold" {
+					targets[0].ColdUntil = e.now() + time.Hour
+				}
+				e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
+				c.respond = func(*exchange.Attempt) (time.Duration, error) {
+					switch state {
+					case "quiet":
+						e.mu.Lock()
+						e.targets[targets[0].Target].quietUntil = e.now() + 3*time.Second
+						e.mu.Unlock()
+					case "out":
+						out := map[model.DataCentreID]bool{targets[0].DataCentre: true}
+						e.SetRoutingState(NewRoutingState(table, targets, out, fleetOf(1)))
+					}
+					return ms, lost
+				}
+				require.NotNil(t, e.Do(t.Context(), newRequest("a", &table.Routes[0])).Err)
+				e.Wait()
+				require.Equal(t, 1, e.cfg.Evidence.Summary(monotime.Now()).Suspects)
+				require.Len(t, c.probes, probes)
+				for _, p := range c.probes {
+					require.True(t, p.Misdirected)
+				}
+			})
+		}
+	}
+}
--- a/internal/forward/decision.go
+++ b/internal/forward/decision.go
@@ -13,12 +13,12 @@
 
 // The verdicts. Those that begin with Loss concern attempts that got no answer.
 const (
-	// LossNotProbed means that the target was not probed, because it may not be asked or too many probes are in progress.
+	// LossNotProbed means that the target was not probed, because too many probes are in progress.
 	LossNotProbed TargetVerdict = "not probed"
-	// LossTargetAccepts, the result of a probe that only connects, means that a connection was accepted at the target's address,
-	// which proves neither its life nor its end.
+	// LossTargetAccepts, the result of a probe, means that a connection was accepted at the target's address and ended without an
+	// answer, which proves neither its life nor its end.
 	LossTargetAccepts TargetVerdict = "address accepts"
-	// LossTargetAnswers, the result of a probe, means that something at the target's address answered it.
+	// LossTargetAnswers, the result of a probe, means that the target or another instance at its address answered it.
 	LossTargetAnswers TargetVerdict = "address answers"
 	// LossTargetSilent, the result of probes, means that the target answered none of them.
 	LossTargetSilent TargetVerdict = "address silent"
