gateway: the time that a handed-over query waited on its way is taken from its time

Cause: the host that carries a query out counted its time from the reading of the frame, so a frame that had waited in the connection of a frozen host was as good as new. Class: a permission that has run out while its holder was paused. Change: the frame bears the sender's reading of its boot clock, and internal/transit takes the smallest difference between sending and receipt seen lately for the difference of the clocks. What a frame exceeds it by counts as spent; a query whose time is over is declined. Hosts that do not tell their clock are treated as before.

--- a/internal/gateway/delegate.go
+++ b/internal/gateway/delegate.go
@@ -20,6 +20,7 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 	"github.com/knapweedrouter/knapweedrouter/internal/peer"
 	"github.com/knapweedrouter/knapweedrouter/internal/relay"
+	"github.com/knapweedrouter/knapweedrouter/internal/transit"
 )
 
 const (
@@ -40,8 +41,10 @@
 	Body   []byte
 	// Repeatable is the sending host's view of the route, which the aggregator must share.
 	Repeatable bool
-	// Allowed is the time from arrival of the frame to the final answer. Since is the time already spent on the query.
+	// Allowed is the time from the sending of the frame to the final answer. Since is the time already spent on the query.
 	Allowed, Since time.Duration
+	// Sent is the sender's reading of its boot clock; 0 from hosts that do not tell it.
+	Sent time.Duration
 	// Generation is the minimum configuration generation that may execute the query, so that a caller never sees an
 	// older configuration than before.
 	Generation model.Generation
@@ -77,6 +80,7 @@
 	lastNumber atomic.Uint64
 	// seenGeneration is the highest generation whose effect callers of this host have seen.
 	seenGeneration atomic.Uint64
+	waits          transit.Estimator
 
 	mu      sync.Mutex
 	cancels map[queryKey]context.CancelFunc
@@ -153,6 +157,7 @@
 		Repeatable: request.Route.Repeatable,
 		Allowed:    request.Deadline.Sub(now),
 		Since:      now.Sub(request.Arrived),
+		Sent:       monotime.SinceBoot(),
 		Generation: max(request.Generation, d.minGeneration()),
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -203,6 +208,7 @@
 		stopper.lastRequest.Store(int64(monotime.Now()))
 		leave()
 	}()
+	d.deductWait(from, &message)
 	request, reason := d.handler.restoreRequest(&message)
 	if request == nil {
 		return gatherReply{Declined: true, Reason: reason, Stopping: d.handler.stopper.isStopping()}, nil
@@ -225,6 +231,16 @@
 	}, nil
 }
 
+// deductWait takes the time that the message waited on its way from the time that the query may take.
+func (d *delegator) deductWait(from peer.Sender, message *gatherRequest) {
+	if message.Sent == 0 {
+		return
+	}
+	waited := d.waits.Waited(from.Host, from.Incarnation, message.Sent, monotime.SinceBoot())
+	message.Allowed -= waited
+	message.Since += waited
+}
+
 // responseRecorder is an http.ResponseWriter that buffers the response.
 type responseRecorder struct {
 	header http.Header
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -125,6 +125,9 @@
 	if h.stopper.isStopping() {
 		return nil, "this host is stopping"
 	}
+	if message.Allowed <= 0 {
+		return nil, "the query waited on its way until its time was over"
+	}
 	state := h.engine.RoutingState()
 	if state == nil || state.Table.Generation < max(message.Generation, h.delegate.minGeneration()) {
 		return nil, "this host has an older configuration"
