scatter: a suspect query begins at a part of its own choice

Cause, traced with a trial that recorded each crash: the second host got the query 100 ms after the first, before the notice of the loss, and lost a second target of each shard; each host's run alone then began at the first shard, which lost its last target. Change: a suspect begins at a part that is drawn at random.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -137,6 +137,7 @@
 	r.trace.Fingerprint = r.fingerprint
 	cfg := r.config(chosen)
 	cfg.Suspect = e.cfg.Evidence.IsSuspect(content)
+	cfg.FirstPart = rand.IntN(len(services))
 	r.machine = scatter.New(cfg, &picker{engine: e, run: r})
 	return r
 }
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,5 +193,6 @@
 		SoftDeadline: now + min(soft, request.Deadline),
 		Deadline:     now + request.Deadline,
 		Suspect:      request.Suspect,
+		FirstPart:    rand.IntN(max(1, len(chosen.Parts))),
 	}
 }
--- a/internal/scatter/machine.go
+++ b/internal/scatter/machine.go
@@ -149,7 +149,12 @@
 // sendFirst sends the first attempts at the parts that have none. If the query is a suspect, it stops after one part that may
 // be answered.
 func (m *Machine) sendFirst(now time.Duration) {
-	for i := range m.round.parts {
+	count := len(m.round.parts)
+	for n := range count {
+		i := n
+		if m.cfg.Suspect {
+			i = (n + m.cfg.FirstPart) % count
+		}
 		p := &m.round.parts[i]
 		if p.active || p.reply != nil || len(p.tried) > 0 || p.unreachable || len(m.round.snapshot.Parts[i].Replicas) == 0 {
 			continue
--- a/internal/scatter/machine_test.go
+++ b/internal/scatter/machine_test.go
@@ -224,6 +224,7 @@
 			SoftDeadline: 8 * ms,
 			Deadline:     40 * ms,
 			Suspect:      rapid.IntRange(0, 4).Draw(t, "suspect") == 0,
+			FirstPart:    rapid.IntRange(0, 9).Draw(t, "first part"),
 		}
 		m := New(cfg, f)
 		delivered := f.run(t, m, cfg.Deadline)
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -125,6 +125,9 @@
 	// Suspect limits a query that may crash targets: it sends a single attempt first and the other shards only after
 	// that attempt has succeeded, without hedges or retries.
 	Suspect bool
+	// FirstPart is the index of the part at which a suspect query begins, modulo the number of parts. If all runs of a query that
+	// crashes targets began at the same part, that part would lose all its targets.
+	FirstPart int
 	// AtMostOnce prevents the query from running more than once at a part: it is not hedged, and a further attempt is
 	// sent only after a failure that proves that the previous one did not run.
 	AtMostOnce bool
--- a/internal/scatter/unreachable_test.go
+++ b/internal/scatter/unreachable_test.go
@@ -55,6 +55,20 @@
 	require.Len(t, parts, 4, "an answer clears the query")
 }
 
+// TestSuspectBeginsAtItsFirstPart guards against a query that crashes targets and takes all those of one shard, because each host
+// begins its run alone at the same shard.
+func TestSuspectBeginsAtItsFirstPart(t *testing.T) {
+	for first := range 9 {
+		f := &fakeFleet{rng: rand.New(rand.NewPCG(1, 1)), attempts: map[int]*sentAttempt{}}
+		f.newer = snapshot.New([]model.IndexID{"a"}, targetReports(4, 4, 3))
+		m := New(Config{Snapshot: f.newer.Choose(), Pinned: true, Mode: Full, Deadline: 500 * ms, Suspect: true, FirstPart: first}, f)
+		sent := map[int]Attempt{}
+		record(sent, m.Tick(0))
+		require.Len(t, sent, 1)
+		require.Equal(t, first%4, sent[0].Part)
+	}
+}
+
 const replicasOfShard = 3
 
 func record(sent map[int]Attempt, actions []Action) {
