forward: a request to all shards that loses its targets tries one more at a time

Cause: retries after lost connections follow after 2 to 20 ms, the first end is known after 30 ms. Change: a run that has lost three attempts and has no answer sends one further attempt at a time, the next one 60 ms after a loss; any answer ends that. Once all parts of a suspect were tried and nothing is in progress, the answer no longer waits for the deadline.

--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -435,3 +435,68 @@
 		})
 	}
 }
+
+// TestRequestToAllShardsLeavesEachShardATarget guards against one run of a request to all shards that crashes every target of every
+// shard, because its retries are sent before the first end is known; and against holding back the retries of a proper one.
+func TestRequestToAllShardsLeavesEachShardATarget(t *testing.T) {
+	const shards = 10
+	for _, deadly := range []bool{true, false} {
+		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := &crashingClient{down: map[string]bool{}}
+				reset := map[string]bool{}
+				c.respond = func(a *exchange.Attempt) (time.Duration, error) {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					switch {
+					case c.down[a.Address]:
+						return ms, targetclient.ErrNotSent
+					case deadly:
+						c.down[a.Address] = true
+						return 4 * ms, targetclient.ErrLost
+					case len(reset) < shards && !reset[a.Address]: // all first connections are reset
+						reset[a.Address] = true
+						return 4 * ms, targetclient.ErrLost
+					}
+					return 4 * ms, nil
+				}
+				route := gatherRoute(shards)
+				route.MaxAttempts = replicas
+				e, table := newEngine(t, c, 1, shards, route)
+				var services []model.ServiceID
+				for i := range shards {
+					services = append(services, shardName(i))
+				}
+				targets := targetsOf(services...)
+				giveAddresses(targets)
+				e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
+				started := time.Now()
+				outcome := e.Do(t.Context(), newRequest("a", &table.Routes[0]))
+				took := time.Since(started)
+				e.Wait()
+				if !deadly {
+					require.Nil(t, outcome.Err)
+					require.NotContains(t, outcome.Replies, (*exchange.Reply)(nil))
+					require.Less(t, took, 50*ms)
+					return
+				}
+				require.NotNil(t, outcome.Err)
+				require.Less(t, took, 200*ms, "the answer does not wait for the deadline")
+				crashed := map[model.ServiceID]int{}
+				for _, x := range targets {
+					if c.down[x.Address] {
+						crashed[x.Service]++
+					}
+				}
+				t.Logf("%d of %d targets crashed", len(c.down), len(targets))
+				intact := 0
+				for _, service := range services {
+					if crashed[service] < replicas {
+						intact++
+					}
+				}
+				require.Equal(t, shards, intact)
+			})
+		})
+	}
+}
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -31,6 +31,8 @@
 	// between data centres is expensive and has a longer round trip. One more queued request at a target in the local data
 	// centre costs about as much.
 	remotePenalty = 0.2
+	// manyLosses is the number of lost attempts from which a request without any answer may be the one that ends its targets.
+	manyLosses = 3
 	// tieNoise is a random cost that spreads the choice among targets without statistics.
 	tieNoise = 100 * time.Microsecond
 )
@@ -87,8 +89,12 @@
 		connections: limit,
 		part:        part.ID,
 		extra:       extra,
+		kind:        kind,
 		sent:        sent,
 	})
+	if kind != scatter.First {
+		p.run.extraOpen++
+	}
 	return chosen.Target, scatter.Picked
 }
 
@@ -105,11 +111,11 @@
 		if r.evidence.Answered || kind == scatter.First || !kind.IsHedge() && !r.unanswered {
 			return false
 		}
-		// Without other shards there is nothing left to wait for.
-		r.condemned = len(r.request.Route.Shards) == 0 && r.openAttempts.Load() == 0
+		// Once each part has been tried and no attempt is in progress, there is nothing left to wait for.
+		r.condemned = len(r.picked) >= len(r.parts) && r.openAttempts.Load() == 0
 		return true
 	}
-	return false
+	return kind != scatter.First && r.awaitsAnswer()
 }
 
 // isExtra reports whether the attempt adds load because another attempt at the same part is in flight or has reached a
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -58,6 +58,7 @@
 	estimate    time.Duration
 	connections int
 	part        model.ShardID
+	kind        scatter.Kind
 	// extra means that the attempt was charged to the budget.
 	extra bool
 	// sent is the monotime reading at which the target was picked.
@@ -93,6 +94,10 @@
 	// condemned means that the request turned out to crash targets while it ran. unanswered means that an attempt reached a
 	// target and got no answer; it is guarded by the engine's mutex.
 	condemned, unanswered bool
+	// lost counts the attempts whose connections were lost; latestLost is when that last happened to an attempt beyond the first of
+	// its part. extraOpen counts such attempts that have not ended. All are guarded by the engine's mutex.
+	lost, extraOpen int
+	latestLost      time.Duration
 	// openAttempts counts the attempts that have not ended. Attempts decrement it concurrently.
 	openAttempts atomic.Int32
 	// interrupted means that the context ended before the request was answered.
@@ -291,6 +296,7 @@
 	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	r.recordLost(p.kind, now, errors.Is(err, targetclient.ErrLost))
 	switch {
 	case err == nil:
 	case !errors.Is(err, targetclient.ErrNotSent):
@@ -328,6 +334,31 @@
 	return decisions
 }
 
+// recordLost records the end of an attempt, which may have lost its connection. The caller holds the engine's mutex.
+func (r *run) recordLost(kind scatter.Kind, now time.Duration, lost bool) {
+	extra := kind != scatter.First
+	if extra {
+		r.extraOpen--
+	}
+	if lost {
+		r.lost++
+	}
+	if lost && extra {
+		r.latestLost = now
+	}
+}
+
+// awaitsAnswer reports whether no further attempt beyond the first of its part may be sent for now: the request has lost many
+// targets, none has answered it, and what became of the latest such attempt is not known yet. A request to many shards that crashes
+// targets has taken one of each shard before the first end is known, and its retries would take the others. The caller holds the
+// engine's mutex.
+func (r *run) awaitsAnswer() bool {
+	if r.lost < manyLosses || r.evidence.Answered {
+		return false
+	}
+	return r.extraOpen > 0 || r.latestLost > 0 && r.engine.now()-r.latestLost < 2*probeDelay
+}
+
 // required returns the minimum number of parts in an answer.
 func (r *run) required() int {
 	if shards := len(r.request.Route.Shards); shards > 0 {
