forward: a target that ended before this host first used it is probed as well; the dump names silent targets

A host that starts takes over the evidence of the others, but a target that it had not used yet was used as if nothing were known of its end. TestEndedTargetsAreProbedInsteadOfUsed has the case ('learned before the first use'). The dump of the engine gains Silent and EndLearned.

--- a/internal/evidence/log.go
+++ b/internal/evidence/log.go
@@ -262,6 +262,13 @@
 	return l.records[factKey{kind: Leaving, instance: i}] != nil
 }
 
+// HasEnded reports whether an instance is known to have ended under a request.
+func (l *Log) HasEnded(i Instance) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.witnesses[i]) > 0
+}
+
 // HasOwnCrash reports whether this host has seen an unrefuted crash of the request itself.
 func (l *Log) HasOwnCrash(fingerprint uint64) bool {
 	l.mu.Lock()
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -396,8 +396,8 @@
 // TestEndedTargetsAreProbedInsteadOfUsed guards against requests that wait until their deadline at targets that are known, here or by
 // another host, to answer nothing; and against never using such a target again once it answers.
 func TestEndedTargetsAreProbedInsteadOfUsed(t *testing.T) {
-	for _, learned := range []bool{false, true} {
-		t.Run(fmt.Sprint("learned ", learned), func(t *testing.T) {
+	for _, how := range []string{"seen", "learned", "learned before the first use"} {
+		t.Run(how, func(t *testing.T) {
 			t.Parallel()
 			c := &silentClient{}
 			c.respond = respondAfter(ms)
@@ -406,16 +406,21 @@
 			targets := targetsOf("single")
 			giveAddresses(targets)
 			e.SetRoutingState(NewRoutingState(table, targets, nil, fleetOf(1)))
+			ended := evidence.Instance{Target: targets[0].Target, Incarnation: targets[0].Incarnation}
+			fact := evidence.Fact{Kind: evidence.Crashed, Fingerprint: 1, Instance: ended}
+			if how == "learned before the first use" {
+				e.cfg.Evidence.Observe(monotime.Now(), fact)
+			}
 			e.mu.Lock()
 			for i := range targets {
 				e.target(&targets[i])
 			}
 			e.mu.Unlock()
-			ended := e.targets[targets[0].Target]
-			if learned {
-				e.ReportLearned("other", []evidence.Fact{{Kind: evidence.Crashed, Fingerprint: 1, Instance: ended.instance()}})
-			} else {
-				ended.witness.Ended(monotime.Now(), evidence.Silent)
+			switch how {
+			case "seen":
+				e.targets[ended.Target].witness.Ended(monotime.Now(), evidence.Silent)
+			case "learned":
+				e.ReportLearned("other", []evidence.Fact{fact})
 			}
 			for i := range 30 {
 				require.Nil(t, e.Do(t.Context(), newRequest(fmt.Sprint(i), &table.Routes[0])).Err)
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -25,6 +25,9 @@
 	// host.
 	Leaving bool
 	QuietMS int64
+	// Silent means that the target has answered neither attempts nor probes, and EndLearned that another host has found that it ended
+	// and no probe has shown otherwise yet. Such a target gets probes only.
+	Silent, EndLearned bool
 }
 
 // ServiceDump holds this host's statistics about a service.
@@ -52,6 +55,8 @@
 			Avoided:    t.stats.IsAvoided(now),
 			Leaving:    t.leaving,
 			QuietMS:    max(0, t.quietUntil-now).Milliseconds(),
+			Silent:     t.witness.IsSilent(),
+			EndLearned: t.endLearned,
 		}
 	}
 	for id, s := range e.services {
--- a/internal/forward/target.go
+++ b/internal/forward/target.go
@@ -64,6 +64,7 @@
 	if state == nil || state.incarnation != t.Incarnation {
 		state = &targetState{id: t.Target, incarnation: t.Incarnation, address: t.Address, coldTokens: 1}
 		state.leaving = e.cfg.Evidence.IsLeaving(state.instance())
+		state.endLearned = e.cfg.Evidence.HasEnded(state.instance())
 		e.targets[t.Target] = state
 		delete(e.unwilling, t.Target)
 		if state.leaving {
