--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -108,8 +108,7 @@
 		// A reply that no parser expected must not end the process.
 		reusable, err = false, fmt.Errorf("%w: %w", targetclient.ErrMismatch, recovered.AsError())
 	}
-	// A late copy of the refusal of a misdirected attempt would be taken for the refusal of the next one.
-	p.release(conns, conn, reusable && !a.Misdirected)
+	p.release(conns, conn, reusable)
 	if err != nil {
 		if !errors.Is(err, targetclient.ErrCancelled) && !errors.Is(err, targetclient.ErrNotSent) {
 			p.retireIdle(conns)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,7 +39,7 @@
 	// Deadline is when the target stops working on the request.
 	Deadline time.Time
 	// Misdirected means that the attempt names an instance that does not exist, so that any target turns it away without running
-	// it. It uses a connection of its own.
+	// it. It opens a connection: a kept one may have gone silent by itself.
 	Misdirected bool
 	// MaxConnections limits this host's connections to the target; 0 means no limit.
 	MaxConnections int
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -352,3 +352,29 @@
 		})
 	}
 }
+
+// TestMisdirectedAttemptOpensAConnection guards against taking a target for silent because a kept connection to it has gone silent, and
+// against keeping the connection of a refusal that names no request: a late copy of it would be taken for the next refusal.
+func TestMisdirectedAttemptOpensAConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		if r.URL.Path == "/" {
+			io.WriteString(conn, refusal)
+		} else {
+			io.WriteString(conn, reply(r.Header.Get("X-Id"), "body"))
+		}
+		return true
+	})
+	p := NewPool(testCodec{})
+	_, err := do(t, p, address, "first")
+	require.NoError(t, err)
+	probe := attemptAt(address, "")
+	probe.Request.URI, probe.Misdirected = "/", true
+	refused, err := p.Probe(t.Context(), probe)
+	require.NoError(t, err)
+	require.True(t, refused.WrongTarget)
+	require.EqualValues(t, 2, connections.Load())
+	_, err = do(t, p, address, "second")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, connections.Load(), "the kept connection is used, and that of the probe is closed")
+}
--- a/internal/exchange/late_copy_test.go
+++ b/internal/exchange/late_copy_test.go
@@ -77,28 +77,3 @@
 	require.NoError(t, err)
 	require.Equal(t, "body", string(got.Body))
 }
-
-// TestMisdirectedAttemptHasAConnectionOfItsOwn guards against taking a late copy of the refusal of a probe for the refusal of the next
-// request on its connection, which would then be said not to have run.
-func TestMisdirectedAttemptHasAConnectionOfItsOwn(t *testing.T) {
-	const refusal = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
-	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
-		if r.URL.Path == "/" {
-			io.WriteString(conn, refusal)
-		} else {
-			io.WriteString(conn, reply(r.Header.Get("X-Id"), "body"))
-		}
-		return true
-	})
-	p := NewPool(testCodec{})
-	_, err := do(t, p, address, "first")
-	require.NoError(t, err)
-	probe := attemptAt(address, "")
-	probe.Request.URI, probe.Misdirected = "/", true
-	refused, err := p.Probe(t.Context(), probe)
-	require.NoError(t, err)
-	require.True(t, refused.WrongTarget)
-	_, err = do(t, p, address, "second")
-	require.NoError(t, err)
-	require.EqualValues(t, 2, connections.Load())
-}
