--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -425,18 +425,18 @@
 			for i := range 30 {
 				require.Nil(t, e.Do(t.Context(), newRequest(fmt.Sprint(i), &table.Routes[0])).Err)
 			}
+			e.Wait()
 			for _, a := range c.arrivals {
 				require.NotEqual(t, targets[0].Target, a.target)
 			}
-			e.Wait()
 			require.Len(t, c.probes, probeTries)
 			c.probe = func(*exchange.Attempt) (*exchange.Reply, error) { return &exchange.Reply{Status: 421}, nil }
 			time.Sleep(silentProbeInterval)
 			require.Eventually(t, func() bool {
 				require.Nil(t, e.Do(t.Context(), newRequest("b", &table.Routes[0])).Err)
+				e.Wait()
 				return c.arrivals[len(c.arrivals)-1].target == targets[0].Target
 			}, time.Second, ms)
-			e.Wait()
 		})
 	}
 }
