--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 	"11": playEndless,
 	"12": playStorm,
 	"13": playStale,
+	"14": playOutage,
 }
 
 // play is one play of a case.
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -37,7 +37,7 @@
 		panic(err)
 	}
 	s.listener, s.address, s.record = l, l.Addr().String(), rec
-	s.born = time.Now().UnixMilli()
+	s.born = time.Now().Unix() * 1000
 	s.running = make(chan struct{}, s.slots)
 	s.http = &http.Server{Handler: s}
 	go s.http.Serve(l)
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -20,6 +20,8 @@
 	leases   map[uint64]*lease
 	nextID   uint64
 	changed  chan struct{}
+	// cutOff is closed when the store falls silent.
+	cutOff chan struct{}
 	// compacted is the revision up to which the history is gone.
 	compacted uint64
 	// refuse, if set, is asked before each call of a gateway. It returns the status to refuse the call with, -1 to answer nothing until
@@ -49,7 +51,7 @@
 }
 
 func newStore() *store {
-	s := &store{revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, nextID: 10, changed: make(chan struct{})}
+	s := &store{revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, nextID: 10, changed: make(chan struct{}), cutOff: make(chan struct{})}
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
 			s.expire()
@@ -253,6 +255,9 @@
 			return
 		}
 		select {
+		case <-s.cuts():
+			<-r.Context().Done() // the store has fallen silent: this call gets no answer
+			return
 		case <-changed:
 		case <-deadline.C:
 			answer(w, 200, map[string]any{"events": events, "store-revision": revision})
@@ -329,3 +334,17 @@
 	}
 	s.history = s.history[first:]
 }
+
+func (s *store) cuts() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cutOff
+}
+
+// cut lets the calls that wait for changes go without an answer.
+func (s *store) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cutOff)
+	s.cutOff = make(chan struct{})
+}
