--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -2,38 +2,19 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
-const (
-	// maxLogChanges limits the change history of a relay. A host that is further behind must list all entries again.
-	maxLogChanges = 4096
-	// replyBytes limits the entries or changes of a reply, of which there is at least one. Together with a value of the largest
-	// size that the store takes, they fit into a frame.
-	replyBytes = 256 << 10
-	// entryOverhead is the size of an entry in a reply beside its key and its value, in bytes.
-	entryOverhead = 32
-)
-
-// changeLog is a relay's copy of the keys, with a bounded history of changes. It is safe for concurrent use.
+// changeLog is a relay's copy of the keys, from which it answers pulls. It is safe for concurrent use.
 type changeLog struct {
-	mu      sync.Mutex
-	entries map[string]store.Entry
-	// keys holds the keys of the entries in order, or nil if they are to be determined.
-	keys    []string
-	changes []store.Change
-	// revision is the one up to which the copy is complete. Entries may be later: the pages of a listing are not a snapshot.
-	revision store.Revision
-	// compactRevision is the revision after which the change history is complete.
-	compactRevision store.Revision
-	listed          bool
-	unavailable     bool
-	changed         chan struct{}
+	mu          sync.Mutex
+	history     history
+	listed      bool
+	unavailable bool
+	changed     chan struct{}
 	// clock reads the boot clock. contact is the reading up to which the copy is known to be complete; until the first listing it
 	// is the start of the process and firstListingGrace.
 	clock   func() time.Duration
@@ -42,7 +23,7 @@
 }
 
 func newChangeLog(clock func() time.Duration, limits contactLimits) *changeLog {
-	return &changeLog{entries: map[string]store.Entry{}, changed: make(chan struct{}), clock: clock, limits: limits,
+	return &changeLog{history: newHistory(), changed: make(chan struct{}), clock: clock, limits: limits,
 		contact: clock() + firstListingGrace}
 }
 
@@ -68,12 +49,7 @@
 func (l *changeLog) reset(entries []store.Entry, revision store.Revision, contact time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = make(map[string]store.Entry, len(entries))
-	for _, entry := range entries {
-		l.entries[entry.Key] = entry
-	}
-	l.keys = nil
-	l.revision, l.compactRevision, l.changes = revision, revision, nil
+	l.history.reset(entries, revision)
 	if contact > l.contact || !l.listed {
 		l.contact = contact
 	}
@@ -85,23 +61,10 @@
 func (l *changeLog) apply(changes []store.Change, contact time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, change := range changes {
-		if _, known := l.entries[change.Key]; known == change.Removed {
-			l.keys = nil
-		}
-		if change.Removed {
-			delete(l.entries, change.Key)
-		} else {
-			l.entries[change.Key] = change.Entry
-		}
-		l.revision = max(l.revision, change.Revision)
+	for i := range changes {
+		l.history.apply(&changes[i])
 	}
 	l.contact = max(l.contact, contact)
-	l.changes = append(l.changes, changes...)
-	if surplus := len(l.changes) - maxLogChanges; surplus > 0 {
-		l.compactRevision = l.changes[surplus-1].Revision
-		l.changes = append([]store.Change(nil), l.changes[surplus:]...)
-	}
 	l.notifyLocked()
 }
 
@@ -123,7 +86,7 @@
 func (l *changeLog) latest() store.Revision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision
+	return l.history.revision
 }
 
 // awaitReply returns the reply to a pull. If there are no changes yet, it waits for them, up to p.Wait, until the contact with the store
@@ -159,64 +122,22 @@
 func (l *changeLog) currentReply(p pull) (pullReply, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reply := pullReply{Status: pullChanges, Revision: l.revision, ContactAge: l.clock() - l.contact}
+	reply := pullReply{Status: pullChanges, Revision: l.history.revision, ContactAge: l.clock() - l.contact}
 	stale := reply.ContactAge > l.limits.tooOld
 	switch {
 	case l.unavailable || !l.listed || stale && p.After == 0:
 		reply.Status = pullUnavailable
 	case p.After == 0:
 		reply.Status = pullEntries
-		reply.Entries, reply.More = l.pageLocked(p)
-	case p.After < l.compactRevision:
+		reply.Entries, reply.More = l.history.page(p.Page, p.Paged)
+	case p.After < l.history.compacted:
 		reply.Status = pullHistoryLost
 	default:
-		reply.Changes, reply.Revision = l.changesLocked(p.After)
-		reply.More = reply.Revision < l.revision
+		reply.Changes, reply.Revision = l.history.since(p.After)
+		reply.More = reply.Revision < l.history.revision
 		if stale && len(reply.Changes) == 0 {
 			reply.Status = pullUnavailable
 		}
 	}
 	return reply, l.changed
 }
-
-// pageLocked returns the entries of the page that a pull asks for, and whether further ones follow. The caller holds l.mu.
-func (l *changeLog) pageLocked(p pull) (page []store.Entry, more bool) {
-	if l.keys == nil {
-		l.keys = slices.Sorted(maps.Keys(l.entries))
-	}
-	next, found := slices.BinarySearch(l.keys, p.Page)
-	if found {
-		next++
-	}
-	size := 0
-	for _, key := range l.keys[next:] {
-		if p.Paged && size >= replyBytes {
-			return page, true
-		}
-		entry := l.entries[key]
-		page = append(page, entry)
-		size += sizeOf(&entry)
-	}
-	return page, false
-}
-
-// changesLocked returns the changes after a revision and the revision that they reach. The changes of one revision are not divided.
-// The caller holds l.mu.
-func (l *changeLog) changesLocked(after store.Revision) ([]store.Change, store.Revision) {
-	var found []store.Change
-	size := 0
-	for i := range l.changes {
-		change := &l.changes[i]
-		if change.Revision <= after {
-			continue
-		}
-		if last := len(found) - 1; size >= replyBytes && found[last].Revision < change.Revision {
-			return found, found[last].Revision
-		}
-		found = append(found, *change)
-		size += sizeOf(&change.Entry)
-	}
-	return found, l.revision
-}
-
-func sizeOf(entry *store.Entry) int { return len(entry.Key) + len(entry.Value) + entryOverhead }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -220,20 +220,34 @@
 	})
 }
 
-// TestPullBeforeOldestChangeReportsHistoryLost guards against gaps in the changes delivered to a host.
-func TestPullBeforeOldestChangeReportsHistoryLost(t *testing.T) {
+// TestPullBeforeOldestRemovalReportsHistoryLost guards against gaps in the changes delivered to a host: a removal that it never hears of.
+func TestPullBeforeOldestRemovalReportsHistoryLost(t *testing.T) {
+	const listed, extra = 5, 10
 	l := newChangeLog(monotime.Now, newContactLimits(0))
-	l.reset([]store.Entry{{Key: "a", Revision: 5}}, 5, monotime.Now())
-	for i := range maxLogChanges + 10 {
-		l.apply([]store.Change{{Entry: store.Entry{Key: "a", Revision: store.Revision(6 + i)}}}, monotime.Now())
+	l.reset([]store.Entry{{Key: "a", Revision: listed}}, listed, monotime.Now())
+	reply, _ := l.currentReply(pull{After: listed - 1})
+	require.Equal(t, pullHistoryLost, reply.Status)
+	for i := range maxRemovals + extra {
+		revision := store.Revision(listed + 1 + i)
+		l.apply([]store.Change{{Entry: store.Entry{Key: fmt.Sprint("b", i), Revision: revision}, Removed: true}}, monotime.Now())
 	}
-	reply, _ := l.currentReply(pull{After: 5})
+	reply, _ = l.currentReply(pull{After: listed})
+	require.Equal(t, pullHistoryLost, reply.Status)
+	oldest := listed + maxRemovals/2 // the removals up to it were dropped
+	reply, _ = l.currentReply(pull{After: store.Revision(oldest - 1)})
 	require.Equal(t, pullHistoryLost, reply.Status)
-	reply, _ = l.currentReply(pull{After: 16})
-	require.Equal(t, pullChanges, reply.Status)
-	require.Len(t, reply.Changes, maxLogChanges-1)
+	after := store.Revision(oldest)
+	for i := oldest; after < l.latest(); {
+		reply, _ = l.currentReply(pull{After: after})
+		require.Equal(t, pullChanges, reply.Status)
+		for _, change := range reply.Changes {
+			require.Equal(t, store.Change{Entry: store.Entry{Key: fmt.Sprint("b", i-listed), Revision: store.Revision(i + 1)}, Removed: true}, change)
+			i++
+		}
+		after = reply.Revision
+	}
 	l.setUnavailable(true)
-	reply, _ = l.currentReply(pull{After: 16})
+	reply, _ = l.currentReply(pull{After: after})
 	require.Equal(t, pullUnavailable, reply.Status)
 }
 
