--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -35,6 +35,8 @@
 	firstListingGrace = 800 * time.Millisecond
 	// timerMargin keeps a timer from firing before the age for which it was set is reached.
 	timerMargin = time.Millisecond
+	// maxPulledBytes bounds the changes that a host pulls before it applies them.
+	maxPulledBytes = 8 << 20
 	// hedgeWait is the wait of a call that makes up for one that hangs.
 	hedgeWait = 0
 )
@@ -191,11 +193,22 @@
 		zap.Uint64("revision", uint64(r.log.latest())))
 }
 
-// pullChanges pulls changes from the given relays in order.
+// pullChanges pulls changes from the given relays in order, part by part: a host that paused after each part would fall behind while
+// many keys change. What was pulled before a failure counts, but brings no contact.
 func (r *Relay) pullChanges(ctx context.Context, relays []slotRecord, p pull, accept func(*pullReply) bool) sourceResult {
 	p.ContactAge = r.ContactAge()
 	reply, err := r.pullInOrder(ctx, relays, p, accept)
-	return sourceResult{changes: reply.Changes, revision: reply.Revision, contact: reply.contact, err: err}
+	got := sourceResult{changes: reply.Changes, revision: reply.Revision, contact: reply.contact, err: err}
+	for size := sizeOfAll(reply.Changes); reply.More && size < maxPulledBytes; size += sizeOfAll(reply.Changes) {
+		p.After, p.Wait = got.revision, 0
+		if reply, err = r.pullInOrder(ctx, relays, p, acceptAny); err != nil {
+			return got
+		}
+		got.changes = append(got.changes, reply.Changes...)
+		got.revision = max(got.revision, reply.Revision)
+		got.contact = reply.contact
+	}
+	return got
 }
 
 // hasRecentContact rejects replies that bring this host neither changes nor a contact that is not too old.
--- a/internal/relay/history.go
+++ b/internal/relay/history.go
@@ -144,3 +144,11 @@
 }
 
 func sizeOf(entry *store.Entry) int { return len(entry.Key) + len(entry.Value) + entryOverhead }
+
+func sizeOfAll(changes []store.Change) int {
+	size := 0
+	for i := range changes {
+		size += sizeOf(&changes[i].Entry)
+	}
+	return size
+}
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"bytes"
 	"runtime"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -10,8 +14,14 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
 
-// largeValue is the size of a configuration of 5,000 routes.
-const largeValue = 990_000
+// A storm writes a version of the configuration each stormGap. largeValue is the size of a configuration of 5,000 routes, and
+// mediumValue one that exceeds a part of a reply.
+const (
+	stormVersions = 25
+	stormGap      = 80 * time.Millisecond
+	mediumValue   = replyBytes + 64<<10
+	largeValue    = 990_000
+)
 
 // heapMB returns the memory that is in use after a garbage collection.
 func heapMB() int {
@@ -35,3 +45,57 @@
 	require.Len(t, reply.Changes, 1, "versions that nobody needs any more")
 	require.Equal(t, store.Revision(2+versions), reply.Changes[0].Revision)
 }
+
+// storm writes versions of the configuration in quick succession, and then the given one. It requires all hosts to have that in time.
+func (d *deployment) storm(size int, last string) {
+	for range stormVersions {
+		d.store.put("config", strings.Repeat("v", size))
+		time.Sleep(stormGap)
+	}
+	d.requireValueOnHosts(last+strings.Repeat(" ", size), inForce)
+}
+
+// TestStormOfVersionsIsInForceInTime guards against hosts without a slot that act on an old configuration, or miss what changes beside
+// it, because they read each version of a storm by itself.
+func TestStormOfVersionsIsInForceInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deployIn(t, 1, 5)
+		defer d.end()
+		d.store.put("target", "ready")
+		d.storm(mediumValue, "first")
+		require.Equal(t, "ready", d.withoutSlot()[0].value("target"))
+		d.store.remove("target")
+		d.storm(mediumValue, "second")
+		d.requireRemoved("target", nil)
+	})
+}
+
+// TestManyChangesAreReadAtOnce guards against hosts that fall behind because they pause after each part of what they lack, as after a
+// moment without contact in a deployment with many targets. An evacuation is the last of the changes.
+func TestManyChangesAreReadAtOnce(t *testing.T) {
+	const targets, size = 20_000, 250
+	synctest.Test(t, func(t *testing.T) {
+		d := deployIn(t, 1, 5)
+		defer d.end()
+		value := bytes.Repeat([]byte("t"), size)
+		d.store.mu.Lock()
+		for i := range targets {
+			d.store.set("target/"+strings.Repeat("i", 20)+string(rune('a'+i%26))+time.Duration(i).String(), value, false)
+		}
+		before := d.readsWithoutSlot()
+		d.store.mu.Unlock()
+		d.requireValueOnHosts("evacuated", inForce)
+		d.store.mu.Lock()
+		defer d.store.mu.Unlock()
+		require.Equal(t, before, d.readsWithoutSlot(), "hosts without a slot press the store")
+	})
+}
+
+// readsWithoutSlot returns the number of calls to the store by hosts without a slot. The caller holds d.store.mu.
+func (d *deployment) readsWithoutSlot() int {
+	reads := 0
+	for _, h := range d.withoutSlot() {
+		reads += d.store.reads[h.cfg.Host]
+	}
+	return reads
+}
