--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -211,11 +211,6 @@
 	return got
 }
 
-// hasRecentContact rejects replies that bring this host neither changes nor a contact that is not too old.
-func (r *Relay) hasRecentContact(reply *pullReply) bool {
-	return isNonEmpty(reply) || r.cfg.Clock()-reply.contact <= r.log.limits.tooOld
-}
-
 // deliver passes a result on to the follower. The contact counts once the changes are applied.
 func (r *Relay) deliver(got sourceResult) ([]store.Change, store.Revision, error) {
 	if got.err != nil {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -82,21 +82,26 @@
 	// of earlier versions.
 	ContactAge, Held time.Duration
 
-	// contact is the contact that the reply gives to the puller, 0 for none. It is not sent.
-	contact time.Duration
+	// source is the contact of the relay, and contact the one that the reply gives to the puller: 0 for none. Neither is sent.
+	source, contact time.Duration
 }
 
-// contactOf returns the contact that the reply gives to a puller, whose call ran from started to ended.
-func (r *pullReply) contactOf(started, ended time.Duration) time.Duration {
-	switch {
-	case r.Status == pullChanges && r.More:
-		return 0
-	case r.ContactAge == 0 && r.Held == 0:
+// sourceContact returns the contact of the relay by the clock of a puller, whose call ran from started to ended.
+func (r *pullReply) sourceContact(started, ended time.Duration) time.Duration {
+	if r.ContactAge == 0 && r.Held == 0 {
 		return ended
 	}
 	return started + r.Held - r.ContactAge
 }
 
+// contactOf returns the contact that the reply gives to a puller. A part of the changes gives none.
+func (r *pullReply) contactOf(started, ended time.Duration) time.Duration {
+	if r.Status == pullChanges && r.More {
+		return 0
+	}
+	return r.sourceContact(started, ended)
+}
+
 // census tells the other relays how many hosts the sender counts and which revision it has reached.
 type census struct {
 	// Key is the slot of the sender, by which hosts of earlier versions keep counts.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -486,7 +486,8 @@
 	if err == nil {
 		r.mergeNews(relay.Host, reply.News)
 		r.news.recordReply(relay.Host, p.News, reply.News)
-		reply.contact = reply.contactOf(started, r.cfg.Clock())
+		ended := r.cfg.Clock()
+		reply.source, reply.contact = reply.sourceContact(started, ended), reply.contactOf(started, ended)
 	}
 	return reply, err
 }
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -70,6 +70,27 @@
 	})
 }
 
+// TestStormAfterAnOutageIsInForceInTime guards against relays that act on an old configuration after an outage, because they take parts
+// of the changes from each other in place of the store's answer.
+func TestStormAfterAnOutageIsInForceInTime(t *testing.T) {
+	for _, size := range []int{mediumValue, largeValue} {
+		synctest.Test(t, func(t *testing.T) {
+			d := deployIn(t, 1, 5)
+			defer d.end()
+			d.requireValueOnHosts("before", inForce)
+			for _, h := range d.hosts {
+				d.hang(h, true)
+			}
+			d.store.put("other", "wakes the watches")
+			time.Sleep(4500 * time.Millisecond)
+			for _, h := range d.hosts {
+				d.hang(h, false)
+			}
+			d.storm(size, "after")
+		})
+	}
+}
+
 // TestManyChangesAreReadAtOnce guards against hosts that fall behind because they pause after each part of what they lack, as after a
 // moment without contact in a deployment with many targets. An evacuation is the last of the changes.
 func TestManyChangesAreReadAtOnce(t *testing.T) {
@@ -99,3 +120,27 @@
 	}
 	return reads
 }
+
+// TestStoreIsHeardWhileRelaysAreSilent guards against a relay that does not look at the store's answer while it waits for other relays,
+// which do not answer: it would act on an old configuration for that time. Its call hangs from any time after the start of it.
+func TestStoreIsHeardWhileRelaysAreSilent(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 200 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			d := deployIn(t, 1, 5)
+			defer d.end()
+			d.requireValueOnHosts("before", inForce)
+			relays := d.relays()
+			behind, others := relays[0], append(relays[1:], d.withoutSlot()...)
+			d.store.put("other", "the next watch begins")
+			time.Sleep(300*time.Millisecond + offset)
+			d.hang(behind, true)
+			d.store.put("other", "wakes the watch, which then hangs")
+			time.Sleep(10 * time.Millisecond)
+			d.hang(behind, false)
+			for _, h := range others {
+				d.silence(h, true)
+			}
+			d.requireValueOnHosts("after", inForce, others...)
+		})
+	}
+}
