follow: of several versions of a key only the last one is applied

Change: the follower drops changes whose key changes again in the same answer. Ruled out: that a sink needs the versions between, as a listing never has them.

Before: TestOutdatedVersionsAreNotApplied failed, 50 changes applied, 2 allowed. After: passes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -107,7 +107,7 @@
 	}
 	f.recordSuccess()
 	f.revision = max(f.revision, revision)
-	changes = f.withoutOutdated(changes)
+	changes = store.LatestChanges(f.withoutListed(changes))
 	if len(changes) == 0 {
 		return 0, nil
 	}
@@ -139,9 +139,9 @@
 	return nil
 }
 
-// withoutOutdated drops the changes that a listed entry already includes: the pages of a listing are not a snapshot. Without
+// withoutListed drops the changes that a listed entry already includes: the pages of a listing are not a snapshot. Without
 // this, an entry that was removed and written again between two pages would be removed once more.
-func (f *Follower) withoutOutdated(changes []store.Change) []store.Change {
+func (f *Follower) withoutListed(changes []store.Change) []store.Change {
 	if len(f.ahead) == 0 {
 		return changes
 	}
--- a/internal/store/feed.go
+++ b/internal/store/feed.go
@@ -19,6 +19,22 @@
 	Removed bool
 }
 
+// LatestChanges returns the last change of each key, in the given order. It reuses the slice.
+func LatestChanges(changes []Change) []Change {
+	last := make(map[string]int, len(changes))
+	for i := range changes {
+		last[changes[i].Key] = i
+	}
+	kept := changes[:0]
+	for i := range changes {
+		if last[changes[i].Key] == i {
+			kept = append(kept, changes[i])
+		}
+	}
+	clear(changes[len(kept):])
+	return kept
+}
+
 // LeaseID identifies a lease.
 type LeaseID uint64
 
