peer: large frames pass thin links

A host on a link of 14 Mbit/s (small hosts of the grown sites) could get no configuration of a megabyte from another host: such a frame takes 0.7 s.

Cause: a frame had to be written within WriteTimeout (500 ms), and a connection without a whole frame for SilenceTimeout (800 ms in a gateway) counted as silent and was replaced, so that the pull was sent again, with the same end. Ruled out: the limit of a frame.

Change: a frame is written in pieces of 64 KiB, each within WriteTimeout; any bytes count as a sign of life; silence counts from the end of a write. A peer that freezes amid a frame is still seen, by a ping.

Before: TestLargeFramesPassThinLinks failed at 14 Mbit/s ("the connection to server was closed"). After: it passes at 14 and 4 Mbit/s; TestFreezeAmidAFrameIsSeen passes before and after.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
 )
 
+// writeBytes is the size of the pieces in which a frame is written. At 1 Mbit/s a piece takes half a second.
+const writeBytes = 64 << 10
+
 // call is a request waiting for its reply. It completes exactly once.
 type call struct {
 	link     *link
@@ -60,9 +64,9 @@
 	mu      sync.Mutex
 	pending map[uint64]*call
 
-	// unansweredSince is the monotime of the first write since the last received frame, or 0 if there was none.
+	// unansweredSince is the monotime of the end of the first write since the last received bytes, or 0 if there was none.
 	unansweredSince atomic.Int64
-	// lastReceived is the monotime of the last received frame.
+	// lastReceived is the monotime of the last received bytes.
 	lastReceived atomic.Int64
 	hasReceived  atomic.Bool // set once the current connection has received a frame
 }
@@ -215,8 +219,15 @@
 	if out.call != nil && !l.register(out) {
 		return true
 	}
-	l.unansweredSince.CompareAndSwap(0, int64(monotime.Now()))
-	return l.transport.writeFrame(connection, out.frame) == nil
+	started := int64(monotime.Now())
+	isFirst := l.unansweredSince.CompareAndSwap(0, started)
+	if l.transport.writeFrame(connection, out.frame) != nil {
+		return false
+	}
+	if isFirst { // the peer can answer only now
+		l.unansweredSince.CompareAndSwap(started, int64(monotime.Now()))
+	}
+	return true
 }
 
 // register records a call that waits for its reply. It returns false if the caller has stopped waiting.
@@ -230,12 +241,15 @@
 	return true
 }
 
+// writeFrame writes a frame piece by piece, each within WriteTimeout, so that a large frame passes a thin link.
 func (t *FrameTransport) writeFrame(connection net.Conn, frame []byte) error {
-	if err := connection.SetWriteDeadline(time.Now().Add(t.cfg.WriteTimeout)); err != nil {
-		return err
-	}
-	if _, err := connection.Write(frame); err != nil {
-		return err
+	for piece := range slices.Chunk(frame, writeBytes) {
+		if err := connection.SetWriteDeadline(time.Now().Add(t.cfg.WriteTimeout)); err != nil {
+			return err
+		}
+		if _, err := connection.Write(piece); err != nil {
+			return err
+		}
 	}
 	t.stats.sent(len(frame))
 	return nil
@@ -244,7 +258,7 @@
 // read processes replies until the connection fails.
 func (l *link) read(connection net.Conn) {
 	t := l.transport
-	reader := bufio.NewReader(connection)
+	reader := bufio.NewReader(&livenessReader{connection, l})
 	for {
 		e, err := t.receive(reader)
 		if err != nil {
@@ -254,13 +268,27 @@
 			t.stats.refusedIncarnation.Add(1)
 			return
 		}
-		l.unansweredSince.Store(0)
-		l.lastReceived.Store(int64(monotime.Now()))
 		l.hasReceived.Store(true)
 		l.deliver(e)
 	}
 }
 
+// livenessReader notes each arrival of bytes: the peer is alive while a large frame arrives on a thin link.
+type livenessReader struct {
+	connection net.Conn
+	link       *link
+}
+
+// Read implements io.Reader.
+func (r *livenessReader) Read(into []byte) (int, error) {
+	n, err := r.connection.Read(into)
+	if n > 0 {
+		r.link.unansweredSince.Store(0)
+		r.link.lastReceived.Store(int64(monotime.Now()))
+	}
+	return n, err
+}
+
 // removeCall removes a call that no longer waits for its reply.
 func (l *link) removeCall(sequence uint64) {
 	l.mu.Lock()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -43,10 +43,10 @@
 	// Urgent lists the kinds of frames that are handled whatever else is: on the goroutine that reads the connection. Their handlers
 	// must not block.
 	Urgent []Kind
-	// DialTimeout bounds connecting, WriteTimeout writing one frame.
+	// DialTimeout bounds connecting, WriteTimeout writing a piece of 64 KiB of a frame.
 	DialTimeout  time.Duration
 	WriteTimeout time.Duration
-	// SilenceTimeout is the time without a frame from the peer after which a connection with unanswered frames is
+	// SilenceTimeout is the time without bytes from the peer after which a connection with unanswered frames is
 	// replaced. The transport pings the peer after half of that time, and also at that interval while the peer holds a
 	// call.
 	SilenceTimeout time.Duration
