follow: a call ends when it stalls, not when its answer is large

A listing had to be whole within 0.7 to 2.5 s: one of 12 pages that a slow store answers in 300 ms each (31,000 servers are over 60 pages), or of a few megabytes on a link of 14 Mbit/s, began anew each time, and the host never got a configuration.

Change: ctxtime.WithStallTimeout ends a context when no progress is reported for a time. A pull whose reply is rejected is no progress (tried first: hosts beside hanging stores went on waiting; TestHostsLearnChangesWhateverRelaysSay showed it).

Before: TestManyPagesOfASlowStoreAreListed failed, no listing in 15 s. After: one listing in 4 s. TestStallEndsTheContext is new.

--- a/internal/ctxtime/ctxtime_test.go
+++ b/internal/ctxtime/ctxtime_test.go
@@ -23,3 +23,23 @@
 		require.Error(t, Sleep(ctx, 0))
 	})
 }
+
+// TestStallEndsTheContext guards against a call that is cut although it makes progress, and against one that hangs for ever.
+func TestStallEndsTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := WithStallTimeout(t.Context(), time.Second)
+		defer cancel()
+		child, cancelChild := context.WithCancel(ctx)
+		defer cancelChild()
+		for range 10 {
+			time.Sleep(900 * time.Millisecond)
+			require.NoError(t, child.Err())
+			Progress(child)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		require.Error(t, child.Err())
+		require.ErrorIs(t, context.Cause(child), context.DeadlineExceeded)
+		Progress(child)
+		Progress(t.Context())
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -21,11 +21,13 @@
 	changeWait = 1800 * time.Millisecond
 	// callGrace is how long after the wait the answer may arrive. A source may ask another one in that time.
 	callGrace = 1200 * time.Millisecond
-	// minCallTimeout and maxCallTimeout bound the timeout of a listing and of the first call after a failure. The
-	// timeout doubles with every second failure: short timeouts detect quickly that a silent store is back, long ones
-	// allow a slow store to answer.
+	// minCallTimeout and maxCallTimeout bound the timeout of a listing and of the first call after a failure, without progress
+	// of the source. The timeout doubles with every second failure: short timeouts detect quickly that a silent store is back,
+	// long ones allow a slow store to answer.
 	minCallTimeout = 700 * time.Millisecond
 	maxCallTimeout = 2500 * time.Millisecond
+	// maxCallDuration bounds a call that makes progress: a listing of the largest deployment on the thinnest link.
+	maxCallDuration = 30 * time.Second
 	// coalesceInterval is the pause after changes, so that changes in quick succession cost one call.
 	coalesceInterval = 250 * time.Millisecond
 	// maxBackoff bounds the delay after a failed call.
@@ -45,7 +47,8 @@
 	Regained()
 }
 
-// Source is the data source of a Follower. The methods are documented at store.Feed.
+// Source is the data source of a Follower. The methods are documented at store.Feed. They call ctxtime.Progress while an answer arrives:
+// without it a call ends after its timeout.
 type Source interface {
 	List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error)
 	Changes(ctx context.Context, prefix string, after store.Revision, wait time.Duration) ([]store.Change, store.Revision, error)
@@ -94,7 +97,7 @@
 	if f.failures > 0 {
 		wait, timeout = 0, f.callTimeout()
 	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := boundCall(ctx, timeout)
 	defer cancel()
 	changes, revision, err := f.source.Changes(bounded, f.prefix, f.revision, wait)
 	if errors.Is(err, store.ErrHistoryLost) {
@@ -115,13 +118,23 @@
 	return coalesceInterval, nil
 }
 
+// boundCall returns a context that ends when a call stalls for the timeout, and after maxCallDuration.
+func boundCall(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancelAll := context.WithTimeout(ctx, maxCallDuration)
+	ctx, cancel := ctxtime.WithStallTimeout(ctx, timeout)
+	return ctx, func() {
+		cancel()
+		cancelAll()
+	}
+}
+
 // callTimeout returns the timeout of a call that the store answers without waiting.
 func (f *Follower) callTimeout() time.Duration {
 	return min(minCallTimeout<<min(f.failures/2, 8), maxCallTimeout)
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, f.callTimeout())
+	bounded, cancel := boundCall(ctx, f.callTimeout())
 	defer cancel()
 	entries, revision, err := f.source.List(bounded, f.prefix)
 	if err != nil {
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/budget"
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/duty"
 	"github.com/knapweedrouter/knapweedrouter/internal/store"
 )
@@ -200,6 +201,7 @@
 	reply, err := r.pullInOrder(ctx, relays, p, accept)
 	got := sourceResult{changes: reply.Changes, revision: reply.Revision, contact: reply.contact, err: err}
 	for size := sizeOfAll(reply.Changes); reply.More && size < maxPulledBytes; size += sizeOfAll(reply.Changes) {
+		ctxtime.Progress(ctx)
 		p.After, p.Wait = got.revision, 0
 		if reply, err = r.pullInOrder(ctx, relays, p, acceptAny); err != nil {
 			return got
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -306,6 +306,7 @@
 			oldest = revision
 			r.delivered = reply.contact
 		}
+		ctxtime.Progress(ctx)
 		entries = append(entries, reply.Entries...)
 		if !reply.More || len(reply.Entries) == 0 {
 			return entries, revision, nil
