relay: the time for a reply follows the link of the host

Change: the time that the largest reply takes on this host's link (0.75 s at 14 Mbit/s, 15 ms at 700) is added to that of a pull.

Before: TestThinHostFollowsALargeConfiguration failed, the host called the store.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 		Address:          s.PeerListen,
 		DataCentre:       s.DataCentre,
 		Large:            s.LinkMbps >= largeLinkMbps,
+		LinkMbps:         s.LinkMbps,
 		OlderIncarnation: func(known model.Incarnation) { peers.SetIncarnation(known + 1) },
 		ChangeBound:      s.ChangeBound,
 		Evidence:         facts,
--- a/internal/relay/deployment_test.go
+++ b/internal/relay/deployment_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
 	"github.com/knapweedrouter/knapweedrouter/internal/follow"
 	"github.com/knapweedrouter/knapweedrouter/internal/model"
 	"github.com/knapweedrouter/knapweedrouter/internal/monotime"
@@ -254,6 +255,8 @@
 	down     bool
 	// silent means that nothing arrives that this host sends, answers included.
 	silent bool
+	// mbps is the bandwidth at which answers arrive; 0 means no limit.
+	mbps float64
 }
 
 func (t *transport) Handle(kind peer.Kind, handler peer.Handler) { t.handlers[kind] = handler }
@@ -298,6 +301,9 @@
 	if err != nil {
 		return err
 	}
+	if t.mbps > 0 && ctxtime.Sleep(ctx, time.Duration(float64(8*len(encoded))/t.mbps*float64(time.Microsecond))) != nil {
+		return peer.ErrNoReply
+	}
 	return msgpack.Unmarshal(encoded, reply)
 }
 
@@ -381,13 +387,21 @@
 }
 
 func (d *deployment) start(id, dataCentre string, large bool) *host {
+	return d.startWithLink(id, dataCentre, large, 0)
+}
+
+// freeShare is the part of a link that queries leave to control.
+const freeShare = 0.7
+
+// startWithLink starts a host whose link has a bandwidth; 0 means no limit.
+func (d *deployment) startWithLink(id, dataCentre string, large bool, mbps float64) *host {
 	name := model.HostID(id)
 	h := &host{
-		transport: &transport{network: d.network, self: peer.Sender{Host: name}, handlers: map[peer.Kind]peer.Handler{}},
+		transport: &transport{network: d.network, self: peer.Sender{Host: name}, handlers: map[peer.Kind]peer.Handler{}, mbps: mbps * freeShare},
 		values:    map[string]string{},
 	}
 	h.Relay = New(zap.NewNop(), Config{
-		Feed: hostFeed{d.store, name}, Transport: h.transport, Host: name, Address: id, DataCentre: model.DataCentreID(dataCentre), Large: large,
+		Feed: hostFeed{d.store, name}, Transport: h.transport, Host: name, Address: id, DataCentre: model.DataCentreID(dataCentre), Large: large, LinkMbps: mbps,
 		OlderIncarnation: func(model.Incarnation) {}, Clock: monotime.Now,
 	})
 	d.network.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// replyGrace is how long after the wait of a pull the relay's reply may arrive.
+	// replyGrace is how long after the wait of a pull the relay's reply may arrive, beside the time that it takes on this host's link.
 	replyGrace = 600 * time.Millisecond
 	// storeFallbackDelay is how long a host goes without a relay's answer before it follows the store directly. A
 	// random jitter of up to the same length is added, to spread the hosts.
@@ -46,6 +46,8 @@
 	// Large hosts claim free slots immediately and act as aggregators for other hosts. Other hosts wait a few seconds
 	// before they claim a slot.
 	Large bool
+	// LinkMbps is the bandwidth of this host's link; 0 means that it is not known and counts as unlimited.
+	LinkMbps float64
 	// OlderIncarnation is called when another host knows a later incarnation of this host.
 	OlderIncarnation func(known model.Incarnation)
 	// ChangeBound is the time within which a change must be in force after the store has acknowledged it; 0 means 3 s, the least one.
@@ -70,6 +72,8 @@
 	// storeFallbackDelay.
 	lastAnswer     atomic.Int64
 	fallbackJitter time.Duration
+	// transferTime is the time that the largest reply takes on this host's link.
+	transferTime time.Duration
 	// lastPull is the number of the last pull of this process. lastSource is the relay that answered a pull last.
 	lastPull   atomic.Uint64
 	lastSource atomic.Pointer[slotRecord]
@@ -108,6 +112,7 @@
 		log:            newChangeLog(cfg.Clock, newContactLimits(cfg.ChangeBound)),
 		direct:         newDirectAccess(),
 		fallbackJitter: rand.N(storeFallbackDelay),
+		transferTime:   transferTime(cfg.LinkMbps),
 		revisionRaised: make(chan struct{}, 1),
 		news:           newNewsLinks(cfg.Evidence),
 	}
@@ -120,6 +125,15 @@
 	return r
 }
 
+// transferTime returns the time that the largest reply to a pull takes on a link.
+func transferTime(linkMbps float64) time.Duration {
+	if linkMbps <= 0 {
+		return 0
+	}
+	const bits = 8 * (replyBytes + store.MaxValueBytes)
+	return time.Duration(bits / linkMbps * float64(time.Microsecond))
+}
+
 // Hosts returns an estimate of the number of hosts that may be serving, which errs on the high side.
 func (r *Relay) Hosts() int { return r.directory.size(time.Now()).Hosts }
 
@@ -475,7 +489,7 @@
 	p.Number = r.lastPull.Add(1)
 	p.Large = r.cfg.Large
 	p.News = r.news.request(relay.Host)
-	bounded, cancel := context.WithTimeout(ctx, p.Wait+replyGrace)
+	bounded, cancel := context.WithTimeout(ctx, p.Wait+replyGrace+r.transferTime)
 	defer cancel()
 	started := r.cfg.Clock()
 	var reply pullReply
--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -144,3 +144,23 @@
 		})
 	}
 }
+
+// TestThinHostFollowsALargeConfiguration guards against a host on a thin link that never gets a large configuration from a relay, because
+// the reply takes longer than the time in which a relay must answer: it would press the store instead.
+func TestThinHostFollowsALargeConfiguration(t *testing.T) {
+	const mbps = 14
+	synctest.Test(t, func(t *testing.T) {
+		d := deployIn(t, 1, 5)
+		defer d.end()
+		d.requireValueOnHosts(strings.Repeat("v", largeValue), inForce)
+		thin := d.startWithLink("thin", "dc0", false, mbps)
+		time.Sleep(5 * time.Second)
+		require.Len(t, thin.value("config"), largeValue, "the listing")
+		for range 3 {
+			d.storm(largeValue, "next")
+		}
+		d.store.mu.Lock()
+		defer d.store.mu.Unlock()
+		require.Zero(t, d.store.reads["thin"], "calls to the store")
+	})
+}
