relay: replies that are under way are bounded by their bytes

When a large configuration changes, a relay makes a frame for each host that pulls from it: 118 of a megabyte each with three relays in 13 data centres and 4,600 hosts, while control may take 64 MB. The queue of a connection holds 256 frames of any size.

Change: a relay counts the bytes of replies of over 16 KiB until their frames are written or dropped (peer.Tracked), 16 MiB at a time. Tried first: 4 MiB, with which hosts on thin links would leave the relay's link idle.

--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -18,16 +18,22 @@
 type inboundConn struct {
 	transport    *FrameTransport
 	connection   net.Conn
-	replies      chan []byte   // new replies are dropped when the queue is full
-	handlerSlots chan struct{} // holds one element per running handler; frames are refused when it is full
+	replies      chan outgoingReply // new replies are dropped when the queue is full
+	handlerSlots chan struct{}      // holds one element per running handler; frames are refused when it is full
 	sender       Sender
 }
 
+// outgoingReply is the frame of a reply.
+type outgoingReply struct {
+	frame []byte
+	body  any
+}
+
 func newInbound(t *FrameTransport, connection net.Conn) *inboundConn {
 	return &inboundConn{
 		transport:    t,
 		connection:   connection,
-		replies:      make(chan []byte, t.cfg.QueueFrames),
+		replies:      make(chan outgoingReply, t.cfg.QueueFrames),
 		handlerSlots: make(chan struct{}, t.cfg.MaxHandlers),
 	}
 }
@@ -49,6 +55,7 @@
 	for range cap(in.handlerSlots) {
 		in.handlerSlots <- struct{}{} // wait for the running handlers
 	}
+	in.dropReplies()
 	in.transport.unregisterInbound(in)
 }
 
@@ -123,6 +130,7 @@
 		err = errHandlerFailed
 	}
 	if err != nil {
+		done(reply)
 		in.reply(e.Seq, kindFailed, err.Error())
 		return
 	}
@@ -138,13 +146,27 @@
 		t.logger.Error("reply frame to a peer can't be encoded", zap.Error(err))
 		// The peer would otherwise wait until its call times out.
 		if frame, err = t.encodeReply(sequence, kindFailed, err.Error()); err != nil {
+			done(body)
 			return
 		}
 	}
 	select {
-	case in.replies <- frame:
+	case in.replies <- outgoingReply{frame: frame, body: body}:
 	default:
 		t.stats.dropped.Add(1)
+		done(body)
+	}
+}
+
+// dropReplies drops the replies that were queued when the connection ended.
+func (in *inboundConn) dropReplies() {
+	for {
+		select {
+		case reply := <-in.replies:
+			done(reply.body)
+		default:
+			return
+		}
 	}
 }
 
@@ -159,8 +181,10 @@
 func (in *inboundConn) writeReplies(ctx context.Context) {
 	for {
 		select {
-		case frame := <-in.replies:
-			if in.transport.writeFrame(in.connection, frame) != nil {
+		case reply := <-in.replies:
+			err := in.transport.writeFrame(in.connection, reply.frame)
+			done(reply.body)
+			if err != nil {
 				in.connection.Close()
 				return
 			}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,17 @@
 // sent.
 type Handler func(ctx context.Context, from Sender, decode func(into any) error) (reply any, err error)
 
+// Tracked is the body of a reply whose sender bounds the memory of replies that are under way. Done is called once: when the frame has been
+// written, or will not be.
+type Tracked interface{ Done() }
+
+// done ends the tracking of a reply.
+func done(reply any) {
+	if tracked, ok := reply.(Tracked); ok {
+		tracked.Done()
+	}
+}
+
 // Transport exchanges frames with other hosts. Implementations are safe for concurrent use.
 type Transport interface {
 	// Send queues a one-way frame without blocking. If the queue is full, it drops the frame and returns an error.
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -285,3 +286,46 @@
 		}
 	})
 }
+
+// trackedReply is a reply whose end is counted.
+type trackedReply struct {
+	Text string
+	done *atomic.Int64
+}
+
+func (r trackedReply) Done() { r.done.Add(1) }
+
+// TestReplyIsDoneOnce guards against a host that leaks the room of replies, and then refuses all, because a reply ended in another way than
+// by being written: its call or its connection was gone, or it exceeds a frame.
+func TestReplyIsDoneOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		server := start(t, network, "server", 1, "server", newKey)
+		client := start(t, network, "client", 1, "client", newKey)
+		var handled, done atomic.Int64
+		size, delay := 10, time.Duration(0)
+		server.Handle("tracked", func(context.Context, peer.Sender, func(any) error) (any, error) {
+			handled.Add(1)
+			time.Sleep(delay)
+			return trackedReply{strings.Repeat("x", size), &done}, nil
+		})
+		var reply text
+		require.NoError(t, client.Call(t.Context(), "server", "tracked", text{}, &reply))
+		size = 2 * peer.MaxFrameBytes
+		require.ErrorIs(t, client.Call(t.Context(), "server", "tracked", text{}, &reply), peer.ErrHandlerFailed)
+		size, delay = 10, time.Second
+		gaveUp, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		require.Error(t, client.Call(gaveUp, "server", "tracked", text{}, &reply))
+		time.Sleep(2 * time.Second)
+		for range 10 {
+			go client.Call(t.Context(), "server", "tracked", text{}, &text{})
+		}
+		time.Sleep(900 * time.Millisecond)
+		network.Cut("server", "client", true)
+		time.Sleep(2 * time.Minute)
+		network.Cut("server", "client", false)
+		require.EqualValues(t, 13, handled.Load())
+		require.Equal(t, handled.Load(), done.Load())
+	})
+}
--- a/internal/relay/deployment_test.go
+++ b/internal/relay/deployment_test.go
@@ -287,6 +287,9 @@
 	answers := make(chan any, 1)
 	go func() {
 		answer, _ := handler(ctx, t.self, func(into any) error { return msgpack.Unmarshal(encoded, into) })
+		if tracked, ok := answer.(peer.Tracked); ok {
+			defer tracked.Done()
+		}
 		t.network.mu.Lock()
 		defer t.network.mu.Unlock()
 		if !other.silent {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -84,6 +84,8 @@
 
 	// source is the contact of the relay, and contact the one that the reply gives to the puller: 0 for none. Neither is sent.
 	source, contact time.Duration
+	// release gives back the room of the reply; nil if it takes none. It is not sent.
+	release func()
 }
 
 // sourceContact returns the contact of the relay by the clock of a puller, whose call ran from started to ended.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/knapweedrouter/knapweedrouter/internal/atomicmax"
 	"github.com/knapweedrouter/knapweedrouter/internal/ctxtime"
@@ -92,6 +93,8 @@
 	// lateness is how much longer than asked the store took for its latest answer, in ns.
 	lateness atomic.Int64
 	news     *newsLinks
+	// replyRoom is the room for replies to pulls that are under way, in bytes.
+	replyRoom *semaphore.Weighted
 	// fetching is set while this host fetches evidence because of a census.
 	fetching atomic.Bool
 }
@@ -115,6 +118,7 @@
 		transferTime:   transferTime(cfg.LinkMbps),
 		revisionRaised: make(chan struct{}, 1),
 		news:           newNewsLinks(cfg.Evidence),
+		replyRoom:      semaphore.NewWeighted(maxRepliesBytes),
 	}
 	r.slot = newSlotKeeper(logger, cfg, self, r.directory)
 	r.lastAnswer.Store(int64(monotime.Now()))
@@ -232,7 +236,10 @@
 		return pullReply{Status: pullUnavailable, News: r.newsFor(&p), NoRelay: !r.IsRelay()}, nil
 	}
 	r.directory.recordPull(from.Host, p, time.Now())
-	reply := r.awaitReplyOrNews(ctx, p)
+	reply, err := r.admitReply(ctx, &p, r.awaitReplyOrNews(ctx, p))
+	if err != nil {
+		return nil, err
+	}
 	size := r.directory.size(time.Now())
 	reply.Hosts, reply.Large = size.Hosts, size.Large
 	return reply, nil
