configstate: a host keeps its changes up to a number of bytes

Its answers to hosts that lack some of them exceeded a frame, so that these hosts could not catch up with it.

Change: the content of the oldest changes beyond 256 KiB is dropped, as the head in the store does with 16 KiB. Hosts that lack them get the base and its segments; operators still see each change by its ID.

Before: TestLargeChangesAreAnsweredByABase failed, 20,034,277 bytes kept, 1 MiB allowed. After: passes.

--- a/internal/configstate/head.go
+++ b/internal/configstate/head.go
@@ -17,6 +17,8 @@
 	// maxInlineBytes bounds the size of the changes stored in a head, because each relay reads the head twice a
 	// second.
 	maxInlineBytes = 16 << 10
+	// maxKeptBytes bounds the size of the changes that a host keeps, and sends to hosts that lack them, in one frame.
+	maxKeptBytes = 256 << 10
 	// maxSegmentBytes is well below the 1 MB limits of a store value and of a peer frame.
 	maxSegmentBytes = 256 << 10
 )
@@ -148,7 +150,7 @@
 	if excess := len(records) - MaxRecords; excess > 0 {
 		records = records[excess:]
 	}
-	records, err = truncateRecords(records)
+	records, err = truncateRecords(records, maxInlineBytes)
 	if err != nil {
 		return Proposal[D, C]{}, err
 	}
@@ -183,16 +185,18 @@
 	return base, segments, nil
 }
 
-// truncateRecords drops the content of the oldest changes until the remaining content fits into a head.
-func truncateRecords[C any](records []Record[C]) ([]Record[C], error) {
+// truncateRecords drops the content of the oldest changes until the remaining content has at most the given size.
+func truncateRecords[C any](records []Record[C], maxBytes int) ([]Record[C], error) {
 	size := 0
 	for i := len(records) - 1; i >= 0; i-- {
-		encoded, err := json.Marshal(records[i].Change)
-		if err != nil {
-			return nil, err
+		if size <= maxBytes {
+			encoded, err := json.Marshal(records[i].Change)
+			if err != nil {
+				return nil, err
+			}
+			size += len(encoded)
 		}
-		size += len(encoded)
-		if size > maxInlineBytes {
+		if size > maxBytes {
 			records[i].Change = nil
 		}
 	}
--- a/internal/configstate/replica.go
+++ b/internal/configstate/replica.go
@@ -11,7 +11,7 @@
 	format     Format[D, C]
 	document   D
 	generation model.Generation
-	records    []Record[C] // the newest changes, without gaps
+	records    []Record[C] // the newest changes, without gaps; the content of large ones is dropped
 
 	// base and segments hold a complete document for hosts too far behind to catch up by changes.
 	base     Base
@@ -73,22 +73,23 @@
 		}
 		document = next
 	}
-	kept := append(slices.Clone(r.records), records...)
-	r.setDocument(document, records[len(records)-1].Generation, kept)
-	return nil
+	return r.setDocument(document, records[len(records)-1].Generation, append(slices.Clone(r.records), records...))
 }
 
-func (r *Replica[D, C]) setDocument(document D, generation model.Generation, records []Record[C]) {
+// setDocument puts a document in force. It keeps the latest of its changes, whose content may be dropped.
+func (r *Replica[D, C]) setDocument(document D, generation model.Generation, records []Record[C]) error {
+	kept, err := truncateRecords(slices.Clone(records[max(0, len(records)-MaxRecords):]), maxKeptBytes)
+	if err != nil {
+		return err
+	}
 	r.document = document
 	r.generation = generation
-	if excess := len(records) - MaxRecords; excess > 0 {
-		records = slices.Clone(records[excess:])
-	}
-	r.records = records
+	r.records = kept
 	if r.pending.Generation <= generation {
 		r.pending = Head[C]{}
 		r.receivedSegments = nil
 	}
+	return nil
 }
 
 // MissingSegments returns the segments needed to apply the pending head.
@@ -126,8 +127,7 @@
 	}
 	r.base = head.Base
 	r.segments = segments
-	r.setDocument(document, head.Generation, head.Records)
-	return nil
+	return r.setDocument(document, head.Generation, head.Records)
 }
 
 // UpdateFor returns a head that brings a host of a lower generation up to date, either with the changes since then or
--- a/internal/configstate/state_test.go
+++ b/internal/configstate/state_test.go
@@ -164,3 +164,47 @@
 		require.Equal(t, c.want, r.OutageDetected(c.now, catalogue, Fleet{}, 7), name)
 	}
 }
+
+// TestLargeChangesAreAnsweredByABase guards against a host that keeps many large changes in memory, and whose answers to hosts that lack them
+// exceed a frame, so that these stay behind.
+func TestLargeChangesAreAnsweredByABase(t *testing.T) {
+	const editsEach, ownerBytes, changes, frameBytes = 30, 10 << 10, MaxRecords, 1 << 20
+	h := newHistory(t, 1)
+	source := NewState()
+	require.NoError(t, source.ApplyStoreRead(0, h.value(t), nil))
+	h.addMissingSegments(t, source)
+	for i := range changes {
+		c := change.Change{ID: fmt.Sprint("large", i)}
+		for e := range editsEach {
+			id := fmt.Sprintf("caller-%05d", e)
+			value, err := json.Marshal(model.Caller{ID: model.CallerID(id), Owner: fmt.Sprintf("owner %*d", ownerBytes, i)})
+			require.NoError(t, err)
+			c.Edits = append(c.Edits, change.Edit{Op: change.Put, Kind: change.Caller, ID: id, Value: value})
+		}
+		generation := source.Catalogue.Generation() + 1
+		record := Record[change.Change]{ID: c.ID, Generation: generation, Change: &c}
+		// A host that accepts a change applies it like this.
+		require.NoError(t, source.Catalogue.ApplyHead(Head[change.Change]{Generation: generation, Records: []Record[change.Change]{record}}))
+	}
+	kept, err := json.Marshal(source.Catalogue.Records())
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(kept), frameBytes, "bytes of kept changes")
+	require.Len(t, source.Catalogue.Records(), MaxRecords, "operators still see all of them")
+	for _, generation := range []model.Generation{1, changes / 2, changes} {
+		reply, err := source.AnswerPull(0, Pull{Generation: generation})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(reply.HeadUpdate), frameBytes)
+	}
+	behind := NewState()
+	require.NoError(t, behind.ApplyStoreRead(0, h.value(t), nil))
+	h.addMissingSegments(t, behind)
+	reply, err := source.AnswerPull(0, Pull{Generation: 1})
+	require.NoError(t, err)
+	require.NoError(t, behind.ApplyPullReply(0, reply))
+	for _, id := range behind.MissingSegments() {
+		content, ok := source.Segment(id)
+		require.True(t, ok)
+		require.NoError(t, behind.AddSegment(content))
+	}
+	require.Equal(t, source.Catalogue.Document(), behind.Catalogue.Document())
+}
