--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -286,15 +286,16 @@
 }
 
 // statusOf returns the HTTP status of an error response. On this interface a valid request is never answered with a 4xx
-// status, and 503 guarantees that the request did not run.
+// status, and 503 guarantees that the request did not run: an error without that guarantee is 502, whatever its kind.
 func statusOf(err *fault.Error) int {
-	switch {
-	case err.Kind == fault.Quarantined && err.Execution == fault.NotRun:
-		return http.StatusServiceUnavailable
-	case err.Kind == fault.Quarantined:
+	status := err.HTTPStatus()
+	if err.Kind == fault.Quarantined {
+		status = http.StatusServiceUnavailable
+	}
+	if promisesNotRun(status) && err.Execution != fault.NotRun {
 		return http.StatusBadGateway
 	}
-	return err.HTTPStatus()
+	return status
 }
 
 func (h *callerHandler) writeBody(w http.ResponseWriter, status int, body []byte) {
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/knapweedrouter/knapweedrouter/internal/fault"
 )
 
 // TestHeadersOfOneConnectionAreNotForwarded guards against forwarding a header that the caller names as one of its connection only,
@@ -32,3 +34,19 @@
 		require.Greater(t, headerBytes(request), len(text)/2)
 	}
 }
+
+// TestOnlyRequestsThatDidNotRunAreRefused guards against a false promise: a caller takes 503 and the like for "has not run and never
+// will", and sends a request once more that must not run twice.
+func TestOnlyRequestsThatDidNotRunAreRefused(t *testing.T) {
+	for _, kind := range []fault.Kind{
+		fault.RequestTimeout, fault.RateLimited, fault.Overloaded, fault.DeadlineTooShort, fault.DeadlineExceeded, fault.CoverageBelowMinimum,
+		fault.Quarantined, fault.CutOff, fault.NotReady, fault.Stopping, fault.StoreUnavailable, fault.TargetFailed, fault.Unavailable, fault.Internal,
+	} {
+		for _, execution := range []fault.Execution{fault.OutcomeUnknown, fault.Ran, ""} {
+			require.False(t, promisesNotRun(statusOf(fault.New(kind, execution, "", "failed"))), "%s, %s", kind, execution)
+		}
+	}
+	for _, kind := range []fault.Kind{fault.Overloaded, fault.Quarantined, fault.NotReady, fault.Stopping} {
+		require.Equal(t, http.StatusServiceUnavailable, statusOf(fault.New(kind, fault.NotRun, "", "refused")), kind)
+	}
+}
