--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -200,7 +200,7 @@
 	p.ContactAge = r.ContactAge()
 	reply, err := r.pullInOrder(ctx, relays, p, accept)
 	got := sourceResult{changes: reply.Changes, revision: reply.Revision, contact: reply.contact, err: err}
-	for size := sizeOfAll(reply.Changes); reply.More && size < maxPulledBytes; size += sizeOfAll(reply.Changes) {
+	for size := sizeOfAll(reply.Changes); reply.More && len(reply.Changes) > 0 && size < maxPulledBytes; size += sizeOfAll(reply.Changes) {
 		ctxtime.Progress(ctx)
 		p.After, p.Wait = got.revision, 0
 		if reply, err = r.pullInOrder(ctx, relays, p, acceptAny); err != nil {
