--- a/internal/relay/storm_test.go
+++ b/internal/relay/storm_test.go
@@ -164,3 +164,26 @@
 		require.Zero(t, d.store.reads["thin"], "calls to the store")
 	})
 }
+
+// TestStormsThatGoOnLeaveNoHostBehind guards against hosts that fall ever further behind while storms follow each other, once a slow store
+// has made their contact too old.
+func TestStormsThatGoOnLeaveNoHostBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deployIn(t, 1, 5)
+		defer d.end()
+		d.requireValueOnHosts("before", inForce)
+		d.setLatency(1500 * time.Millisecond)
+		time.Sleep(5 * time.Second)
+		d.setLatency(4 * time.Millisecond)
+		for range 6 {
+			d.storm(largeValue, "next")
+		}
+	})
+}
+
+// setLatency sets the time that a call for changes takes at least.
+func (d *deployment) setLatency(latency time.Duration) {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.store.latency = latency
+}
