gateway: the name of a route may hold any characters

Operators name routes, and the store takes such names.

Change: the label is escaped as the Prometheus text format asks.

Before: TestOddRouteNamesAreCounted failed ("BUG: invalid metric name"). After: passes.

--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -64,8 +64,8 @@
 // RequestEnded implements forward.Observer.
 func (o *observer) RequestEnded(t forward.Trace) {
 	outcome := outcomeOf(&t)
-	o.metrics.GetOrCreateCounter(`knapweedrouter_requests_total{route="` + t.Route + `",outcome="` + outcome + `"}`).Inc()
-	o.metrics.GetOrCreateHistogram(`knapweedrouter_request_seconds{route="` + t.Route + `"}`).Update(t.Took.Seconds())
+	o.metrics.GetOrCreateCounter(requestsSeries(t.Route, outcome)).Inc()
+	o.metrics.GetOrCreateHistogram(secondsSeries(t.Route)).Update(t.Took.Seconds())
 	for i := range t.Attempts {
 		a := &t.Attempts[i]
 		o.metrics.GetOrCreateCounter(`knapweedrouter_attempts_total{kind="` + string(a.Kind) + `",failure="` + string(a.Failure) + `"}`).Inc()
