gateway: metrics of routes and leases that are gone are dropped

A host kept a counter for each outcome and a histogram for each route that ever had a request, and for each lease that it ever renewed.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -175,7 +175,7 @@
 		}
 	}
 	for name := range e.routes {
-		if !rs.hasRoute(name) {
+		if !rs.HasRoute(name) {
 			delete(e.routes, name)
 		}
 	}
--- a/internal/forward/routing_state.go
+++ b/internal/forward/routing_state.go
@@ -45,7 +45,8 @@
 	return rs
 }
 
-func (rs *RoutingState) hasRoute(name string) bool { return rs.routes[name] }
+// HasRoute reports whether the configuration has a route of that name.
+func (rs *RoutingState) HasRoute(name string) bool { return rs.routes[name] }
 
 // IsRegistered reports whether the target is registered, even if it is not eligible.
 func (rs *RoutingState) IsRegistered(id model.TargetID) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,7 @@
 	probeServer.Close()
 	operatorServer.Close()
 	tasks.Wait()
-	g.observer.summarize()
+	g.observer.summarize(g.isRouted)
 	g.logger.Info("host stopped")
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -279,10 +279,16 @@
 	return router
 }
 
+// isRouted reports whether a route is in the configuration, or may be.
+func (g *Gateway) isRouted(route string) bool {
+	state := g.engine.RoutingState()
+	return state == nil || state.HasRoute(route)
+}
+
 // summarize periodically logs summaries and drops connections to unregistered targets until the context ends.
 func (g *Gateway) summarize(ctx context.Context) {
 	for ctxtime.Sleep(ctx, summaryInterval) == nil {
-		g.observer.summarize()
+		g.observer.summarize(g.isRouted)
 		if state := g.engine.RoutingState(); state != nil {
 			g.pool.KeepOnly(state.IsRegistered)
 		}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -44,6 +44,8 @@
 	// logged because of the rate limit.
 	ordinary, withheld int
 	routes             map[string]*routeSummary
+	// series holds the routes that have series.
+	series map[string]bool
 }
 
 // routeSummary counts a route's requests since the last summary.
@@ -58,14 +60,14 @@
 		metrics:    metrics.NewSet(),
 		logLimiter: rate.NewLimiter(linesPerSecond, lineBurst),
 		routes:     map[string]*routeSummary{},
+		series:     map[string]bool{},
 	}
 }
 
 // RequestEnded implements forward.Observer.
 func (o *observer) RequestEnded(t forward.Trace) {
 	outcome := outcomeOf(&t)
-	o.metrics.GetOrCreateCounter(requestsSeries(t.Route, outcome)).Inc()
-	o.metrics.GetOrCreateHistogram(secondsSeries(t.Route)).Update(t.Took.Seconds())
+	o.countRequest(t.Route, outcome, t.Took)
 	for i := range t.Attempts {
 		a := &t.Attempts[i]
 		o.metrics.GetOrCreateCounter(`knapweedrouter_attempts_total{kind="` + string(a.Kind) + `",failure="` + string(a.Failure) + `"}`).Inc()
@@ -101,11 +103,11 @@
 		o.routes[t.Route] = s
 	}
 	switch outcomeOf(t) {
-	case "answered":
+	case outcomeAnswered:
 		s.answered++
-	case "partial":
+	case outcomePartial:
 		s.partial++
-	case "failed":
+	case outcomeFailed:
 		s.failed++
 	default:
 		s.refused++
@@ -123,13 +125,13 @@
 func outcomeOf(t *forward.Trace) string {
 	switch {
 	case t.Failed:
-		return "failed"
+		return outcomeFailed
 	case t.Err != nil:
-		return "refused"
+		return outcomeRefused
 	case t.Answered < t.Shards:
-		return "partial"
+		return outcomePartial
 	}
-	return "answered"
+	return outcomeAnswered
 }
 
 func traceFields(t *forward.Trace) []zap.Field {
@@ -232,8 +234,9 @@
 	o.metrics.GetOrCreateHistogram(`knapweedrouter_store_call_seconds{call="` + call + `"}`).Update(took.Seconds())
 }
 
-// summarize logs the requests since the last summary and resets the counters.
-func (o *observer) summarize() {
+// summarize logs the requests since the last summary and resets the counters. It drops the series of routes that are not routed any more.
+func (o *observer) summarize(isRouted func(route string) bool) {
+	o.dropSeries(isRouted)
 	o.mu.Lock()
 	routes, withheld, ordinary := o.routes, o.withheld, o.ordinary
 	o.routes, o.withheld, o.ordinary = map[string]*routeSummary{}, 0, 0
