--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -76,8 +76,7 @@
 		case got = <-w.pulled:
 			w.isPulling = false
 			if !isSourceFailure(got.err) {
-				r.logger.Warn("store behind other relays: changes taken from one", zap.Uint64("after", uint64(w.after)),
-					zap.Uint64("newest", r.newestRevision.Load()), zap.Int("changes", len(got.changes)), zap.Error(got.err))
+				w.logPulled(&got)
 				return got, false
 			}
 			w.pullFailed()
@@ -99,6 +98,15 @@
 	}
 }
 
+// logPulled logs that a relay was ahead of the store's answers. One that has no changes only has a later contact.
+func (w *storeWatch) logPulled(got *sourceResult) {
+	if len(got.changes) == 0 && got.err == nil {
+		return
+	}
+	w.relay.logger.Warn("store behind other relays: changes taken from one", zap.Uint64("after", uint64(w.after)),
+		zap.Uint64("newest", w.relay.newestRevision.Load()), zap.Int("changes", len(got.changes)), zap.Error(got.err))
+}
+
 // call starts a call to the store.
 func (w *storeWatch) call(wait time.Duration) {
 	w.calls++
