--- a/internal/configstate/head.go
+++ b/internal/configstate/head.go
@@ -146,11 +146,7 @@
 		return Proposal[D, C]{}, err
 	}
 	record := Record[C]{ID: id, Generation: generation, Change: &change}
-	records := append(slices.Clone(head.Records), record)
-	if excess := len(records) - MaxRecords; excess > 0 {
-		records = records[excess:]
-	}
-	records, err = truncateRecords(records, maxInlineBytes)
+	records, err := latestRecords(append(slices.Clone(head.Records), record), maxInlineBytes)
 	if err != nil {
 		return Proposal[D, C]{}, err
 	}
@@ -185,8 +181,10 @@
 	return base, segments, nil
 }
 
-// truncateRecords drops the content of the oldest changes until the remaining content has at most the given size.
-func truncateRecords[C any](records []Record[C], maxBytes int) ([]Record[C], error) {
+// latestRecords returns a copy of the latest MaxRecords changes. The content of the oldest ones is dropped until the remaining content has
+// at most the given size.
+func latestRecords[C any](all []Record[C], maxBytes int) ([]Record[C], error) {
+	records := slices.Clone(all[max(0, len(all)-MaxRecords):])
 	size := 0
 	for i := len(records) - 1; i >= 0; i-- {
 		if size <= maxBytes {
--- a/internal/configstate/replica.go
+++ b/internal/configstate/replica.go
@@ -78,7 +78,7 @@
 
 // setDocument puts a document in force. It keeps the latest of its changes, whose content may be dropped.
 func (r *Replica[D, C]) setDocument(document D, generation model.Generation, records []Record[C]) error {
-	kept, err := truncateRecords(slices.Clone(records[max(0, len(records)-MaxRecords):]), maxKeptBytes)
+	kept, err := latestRecords(records, maxKeptBytes)
 	if err != nil {
 		return err
 	}
