gateway: a request takes the observer's lock once

The routes that have series are noted where the summary of the route is, under the lock that is held there; the series of a request that ends beside a removal are dropped by the next summary, as before. The lock is not held over the look-up of metrics any more.

--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -67,7 +67,8 @@
 // RequestEnded implements forward.Observer.
 func (o *observer) RequestEnded(t forward.Trace) {
 	outcome := outcomeOf(&t)
-	o.countRequest(t.Route, outcome, t.Took)
+	o.metrics.GetOrCreateCounter(requestsSeries(t.Route, outcome)).Inc()
+	o.metrics.GetOrCreateHistogram(secondsSeries(t.Route)).Update(t.Took.Seconds())
 	for i := range t.Attempts {
 		a := &t.Attempts[i]
 		o.metrics.GetOrCreateCounter(`knapweedrouter_attempts_total{kind="` + string(a.Kind) + `",failure="` + string(a.Failure) + `"}`).Inc()
@@ -97,6 +98,7 @@
 }
 
 func (o *observer) addToSummary(t *forward.Trace) {
+	o.series[t.Route] = true
 	s := o.routes[t.Route]
 	if s == nil {
 		s = &routeSummary{}
--- a/internal/gateway/observe_routes.go
+++ b/internal/gateway/observe_routes.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"strings"
-	"time"
-)
+import "strings"
 
 // Outcomes of requests, as in the metrics.
 const (
@@ -24,15 +21,6 @@
 	return `knapweedrouter_request_seconds{route="` + labelEscaper.Replace(route) + `"}`
 }
 
-// countRequest counts a request that has ended.
-func (o *observer) countRequest(route, outcome string, took time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.series[route] = true
-	o.metrics.GetOrCreateCounter(requestsSeries(route, outcome)).Inc()
-	o.metrics.GetOrCreateHistogram(secondsSeries(route)).Update(took.Seconds())
-}
-
 // dropSeries drops the series of routes that are not routed any more: configurations add and remove routes all day.
 func (o *observer) dropSeries(isRouted func(route string) bool) {
 	o.mu.Lock()
