--- a/internal/configstate/state_test.go
+++ b/internal/configstate/state_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// pullOnce lets a host pull from a source once, and fetch the segments that it lacks.
+func pullOnce(t *testing.T, host, source *State) {
+	reply, err := source.AnswerPull(0, Pull{Generation: host.Catalogue.Generation()})
+	require.NoError(t, err)
+	require.NoError(t, host.ApplyPullReply(0, reply))
+	for _, id := range host.MissingSegments() {
+		content, ok := source.Segment(id)
+		require.True(t, ok)
+		require.NoError(t, host.AddSegment(content))
+	}
+}
+
 func fenced(s *State, now time.Duration) bool { return s.ServesUntil(now, true) <= now }
 
 // TestCatalogueDoesNotDependOnUpdatePath guards against hosts of the same generation holding different catalogues
@@ -70,14 +82,7 @@
 	for _, from := range []*State{early, NewState()} {
 		for i := 0; from.Catalogue.Generation() < h.head.Generation; i++ {
 			require.Less(t, i, 5)
-			reply, err := fromStore.AnswerPull(0, Pull{Generation: from.Catalogue.Generation()})
-			require.NoError(t, err)
-			require.NoError(t, from.ApplyPullReply(0, reply))
-			for _, id := range from.MissingSegments() {
-				content, ok := fromStore.Segment(id)
-				require.True(t, ok)
-				require.NoError(t, from.AddSegment(content))
-			}
+			pullOnce(t, from, fromStore)
 		}
 		require.Equal(t, fromStore.Catalogue.Document(), from.Catalogue.Document())
 	}
@@ -198,13 +203,6 @@
 	behind := NewState()
 	require.NoError(t, behind.ApplyStoreRead(0, h.value(t), nil))
 	h.addMissingSegments(t, behind)
-	reply, err := source.AnswerPull(0, Pull{Generation: 1})
-	require.NoError(t, err)
-	require.NoError(t, behind.ApplyPullReply(0, reply))
-	for _, id := range behind.MissingSegments() {
-		content, ok := source.Segment(id)
-		require.True(t, ok)
-		require.NoError(t, behind.AddSegment(content))
-	}
+	pullOnce(t, behind, source)
 	require.Equal(t, source.Catalogue.Document(), behind.Catalogue.Document())
 }
